--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,47 @@
+import tseslint from "typescript-eslint";
+
+const arrowsOnly = [
+  {
+    selector: "FunctionDeclaration[generator=false]",
+    message: "Arrow functions only; generators are the one exception.",
+  },
+  {
+    selector: "FunctionExpression[generator=false]:not(MethodDefinition[kind=/^(constructor|get|set)$/] > FunctionExpression)",
+    message: "Arrow functions only; generators are the one exception.",
+  },
+  {
+    selector: "TSAsExpression:not([typeAnnotation.typeName.name='const'])",
+    message: "No casts.",
+  },
+  { selector: "TSTypeAssertion", message: "No casts." },
+  { selector: "TSNonNullExpression", message: "No casts, and so no non-null signs." },
+];
+
+export default tseslint.config(
+  { ignores: ["target/**", "node_modules/**"] },
+  ...tseslint.configs.recommendedTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { project: ["./tsconfig.json", "./features/tsconfig.json"], tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      "no-restricted-syntax": ["error", ...arrowsOnly],
+      "@typescript-eslint/no-explicit-any": "error",
+      "@typescript-eslint/consistent-type-assertions": ["error", { assertionStyle: "never" }],
+      "@typescript-eslint/require-await": "off",
+      "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
+    },
+  },
+  {
+    files: ["src/traction/**"],
+    rules: {
+      "no-restricted-imports": ["error", { patterns: [{ group: ["**/interlocking/**"], message: "traction never imports interlocking." }] }],
+    },
+  },
+  {
+    files: ["src/trackbed/**"],
+    rules: {
+      "no-restricted-imports": ["error", { patterns: [{ group: ["**/interlocking/**", "**/traction/**", "**/signalling/**", "**/inspection/**"], message: "trackbed imports nothing of the others." }] }],
+    },
+  },
+);
--- /dev/null
+++ b/src/inspection/inspector.ts
@@ -0,0 +1,246 @@
+import type { Clock, Pulse } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { asRec, list, text, type Rec } from "../trackbed/shape.js";
+import { SECOND } from "../trackbed/span.js";
+import type { Message } from "../trackbed/wire.js";
+import { FaultWindow, outlier, type Evidence, type InspectionTerms } from "./ranking.js";
+
+export interface InspectedWorker {
+  readonly id: string;
+  readonly service: string;
+  readonly cell: string;
+  readonly missing: boolean;
+}
+
+export interface Ejection {
+  readonly worker: string;
+  readonly reason: string;
+  readonly evidence: Rec;
+}
+
+export interface Shift {
+  readonly cell: string;
+  readonly why: "outlier" | "practice" | "by hand";
+  readonly reason: string;
+}
+
+/** What the inspection wants of the data plane. Invariant: at most one cell is shifted away from at a time. */
+export interface Decisions {
+  readonly removals: number;
+  readonly ejections: readonly Ejection[];
+  readonly shift: Shift | undefined;
+}
+
+export const NO_DECISIONS: Decisions = { removals: 0, ejections: [], shift: undefined };
+
+const readShift = (value: unknown): Shift | undefined => {
+  if (value === undefined || value === null) return undefined;
+  const rec = asRec(value, "shift");
+  const why = rec["why"];
+  return { cell: text(rec, "cell"), why: why === "practice" || why === "by hand" ? why : "outlier", reason: text(rec, "reason") };
+};
+
+export const readDecisions = (value: unknown): Decisions => {
+  const rec = asRec(value, "decisions");
+  const ejections = list(rec, "ejections", asRec).map((row) => ({
+    worker: text(row, "worker"),
+    reason: text(row, "reason"),
+    evidence: asRec(row["evidence"], "evidence"),
+  }));
+  return { removals: Number(rec["removals"] ?? 0), ejections, shift: readShift(rec["shift"]) };
+};
+
+export interface InspectorOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly terms: InspectionTerms;
+  readonly isHolder: () => boolean;
+  readonly epoch: () => number;
+  readonly workers: () => readonly InspectedWorker[];
+  readonly decisions: () => Decisions;
+  /** Makes decisions durable under the holder's epoch; false if a newer epoch or no quorum stood in the way. */
+  readonly publish: (decisions: Decisions) => Promise<boolean>;
+}
+
+const TICK_US = 5 * SECOND;
+const PRACTICE_GAP_US = 7 * 24 * 3600 * SECOND;
+const PRACTICE_US = 60 * SECOND;
+const MISSING_WEIGHT = 10;
+
+/** The paper's mechanism: rank by faults, alarm on an outlier, take a token, remove one. */
+export class Inspector {
+  private readonly window: FaultWindow;
+  private pulse: Pulse | undefined;
+  private busy = false;
+  /** Invariant: set exactly while this one holds the duty. */
+  private heldSinceUs: number | undefined;
+  private lastRemovalUs: number | undefined;
+  private readonly ejectedSinceUs = new Map<string, number>();
+  private shiftSinceUs: number | undefined;
+  private lastPracticeUs = 0;
+  private practised = 0;
+  private malformed = 0;
+  private lastSaid = "";
+
+  constructor(private readonly options: InspectorOptions) {
+    this.window = new FaultWindow(options.clock, options.terms.windowUs);
+  }
+
+  readonly start = (): void => {
+    this.pulse = this.options.clock.every(TICK_US, () => void this.tick());
+  };
+
+  readonly stop = (): void => this.pulse?.stop();
+
+  readonly take = (report: Message): void => {
+    if (!this.window.take(report)) this.malformed += 1;
+  };
+
+  /** Everything that led to what is decided, for the control query. */
+  readonly explain = (): Rec => {
+    const faults = [...this.window.byWorker()].sort((a, b) => b[1] - a[1]).slice(0, 20).map(([worker, count]) => ({ worker, faults: count }));
+    return {
+      holder: this.options.isHolder(),
+      epoch: this.options.epoch(),
+      token: this.hasToken() ? "here" : "spent",
+      faults,
+      malformedReports: this.malformed,
+      decisions: this.options.decisions(),
+    };
+  };
+
+  readonly tick = async (): Promise<void> => {
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      if (this.options.isHolder()) await this.decide();
+      else this.heldSinceUs = undefined;
+    } finally {
+      this.busy = false;
+    }
+  };
+
+  /** An operator's shift, or its end when no cell is named. */
+  readonly shiftByHand = (cell: string): Promise<boolean> => {
+    const shift: Shift | undefined = cell === "" ? undefined : { cell, why: "by hand", reason: "The operator asked for it." };
+    return this.publish({ ...this.options.decisions(), shift });
+  };
+
+  readonly practise = (cell: string): Promise<boolean> =>
+    this.publish({ ...this.options.decisions(), shift: { cell, why: "practice", reason: "Practice keeps the path exercised." } });
+
+  private readonly publish = async (decisions: Decisions): Promise<boolean> => {
+    if (!this.options.isHolder()) return false;
+    const published = await this.options.publish(decisions);
+    if (published) this.shiftSinceUs = decisions.shift ? this.options.clock.nowUs() : undefined;
+    return published;
+  };
+
+  /** The age of a removal isn't known to a new holder, so where one was ever made it starts with the token spent. */
+  private readonly hasToken = (): boolean => {
+    const { clock, terms, decisions } = this.options;
+    const sinceUs = this.lastRemovalUs ?? (decisions().removals > 0 ? this.heldSinceUs : undefined);
+    return sinceUs === undefined || clock.nowUs() - sinceUs >= terms.tokenGapUs;
+  };
+
+  private readonly decide = async (): Promise<void> => {
+    const { clock } = this.options;
+    if (this.heldSinceUs === undefined) {
+      this.heldSinceUs = clock.nowUs();
+      this.lastPracticeUs = this.heldSinceUs;
+      this.lastRemovalUs = undefined;
+      this.ejectedSinceUs.clear();
+    }
+    if (await this.returnSome()) return;
+    if (await this.endShift()) return;
+    if (await this.ejectWorst()) return;
+    if (await this.shiftWorst()) return;
+    await this.practiseWeekly();
+  };
+
+  private readonly returnSome = async (): Promise<boolean> => {
+    const { clock, terms, decisions, workers, log } = this.options;
+    const nowUs = clock.nowUs();
+    const living = new Set(workers().map((worker) => worker.id));
+    const now = decisions();
+    now.ejections.filter(({ worker }) => !this.ejectedSinceUs.has(worker)).forEach(({ worker }) => this.ejectedSinceUs.set(worker, nowUs));
+    const kept = now.ejections.filter(({ worker }) => living.has(worker) && nowUs - (this.ejectedSinceUs.get(worker) ?? nowUs) < terms.returnUs);
+    if (kept.length === now.ejections.length) return false;
+    const returned = now.ejections.filter((ejection) => !kept.includes(ejection)).map(({ worker }) => worker);
+    if (await this.options.publish({ ...now, ejections: kept })) {
+      returned.forEach((worker) => this.ejectedSinceUs.delete(worker));
+      log.info(`Returned ${returned.join(", ")}.`);
+    }
+    return true;
+  };
+
+  private readonly endShift = async (): Promise<boolean> => {
+    const { clock, terms, decisions, log } = this.options;
+    const { shift } = decisions();
+    if (!shift || shift.why === "by hand") return false;
+    this.shiftSinceUs ??= clock.nowUs();
+    const lastsUs = shift.why === "practice" ? PRACTICE_US : terms.returnUs;
+    if (clock.nowUs() - this.shiftSinceUs < lastsUs) return false;
+    if (await this.publish({ ...decisions(), shift: undefined })) log.info(`The shift away from ${shift.cell} is over.`);
+    return true;
+  };
+
+  private readonly ejectWorst = async (): Promise<boolean> => {
+    const { terms, workers, decisions, log, clock, epoch } = this.options;
+    const living = new Map(workers().map((worker) => [worker.id, worker]));
+    const now = decisions();
+    const ejected = new Set(now.ejections.map(({ worker }) => worker));
+    const sums = new Map([...this.window.byWorker()].filter(([id]) => living.has(id) && !ejected.has(id)));
+    const found = outlier(sums, terms.floorFaults, terms.alarmShare);
+    const worker = found && living.get(found.who);
+    if (!found || !worker) return false;
+    if (!this.hasToken()) return this.say(`${found.who} holds ${percent(found)} of the faults, but the token is spent.`);
+    const ofService = [...living.values()].filter((other) => other.service === worker.service);
+    const out = ofService.filter((other) => ejected.has(other.id) || other.missing).length;
+    if (out + 1 > ofService.length * terms.cappedShare) return this.say(`${found.who} stands out, but ${worker.service} may lose no more workers.`);
+    const reason = `${found.who} holds ${found.faults} of ${found.ofFaults} faults (${percent(found)}).`;
+    const evidence = { faults: found.faults, ofFaults: found.ofFaults, share: found.share, token: "taken", epoch: epoch() };
+    const ejections = [...now.ejections, { worker: found.who, reason, evidence }];
+    if (await this.options.publish({ ...now, removals: now.removals + 1, ejections })) {
+      this.lastRemovalUs = clock.nowUs();
+      this.ejectedSinceUs.set(found.who, clock.nowUs());
+      log.warn(`Ejected ${found.who} of ${worker.service}: ${reason}`);
+    }
+    return true;
+  };
+
+  private readonly shiftWorst = async (): Promise<boolean> => {
+    const { terms, workers, decisions, log } = this.options;
+    if (decisions().shift) return false;
+    const all = workers();
+    const faults = this.window.byWorker();
+    const weightOf = (worker: InspectedWorker) => (faults.get(worker.id) ?? 0) + (worker.missing ? MISSING_WEIGHT : 0);
+    const sums = new Map<string, number>();
+    all.forEach((worker) => sums.set(worker.cell, (sums.get(worker.cell) ?? 0) + weightOf(worker)));
+    const found = outlier(sums, terms.cellFloorFaults, terms.alarmShare);
+    if (!found || sums.size < 3) return false;
+    const ofCell = all.filter((worker) => worker.cell === found.who);
+    if (ofCell.filter((worker) => weightOf(worker) > 0).length * 2 < ofCell.length) return false;
+    const reason = `${found.who} holds ${found.faults} of ${found.ofFaults} faults (${percent(found)}).`;
+    if (await this.publish({ ...decisions(), shift: { cell: found.who, why: "outlier", reason } })) log.warn(`Shifted away from ${found.who}: ${reason}`);
+    return true;
+  };
+
+  private readonly practiseWeekly = async (): Promise<void> => {
+    const { clock, workers, decisions } = this.options;
+    if (decisions().shift || clock.nowUs() - this.lastPracticeUs < PRACTICE_GAP_US) return;
+    const cells = [...new Set(workers().map((worker) => worker.cell))].sort();
+    const cell = cells[this.practised % Math.max(1, cells.length)];
+    this.lastPracticeUs = clock.nowUs();
+    this.practised += 1;
+    if (cell !== undefined && cells.length > 1) await this.practise(cell);
+  };
+
+  private readonly say = (sentence: string): boolean => {
+    if (sentence !== this.lastSaid) this.options.log.info(sentence);
+    this.lastSaid = sentence;
+    return false;
+  };
+}
+
+const percent = (evidence: Evidence): string => `${Math.round(evidence.share * 100)}%`;
--- /dev/null
+++ b/src/interlocking/check.ts
@@ -0,0 +1,204 @@
+import convict from "convict";
+import { err, ok, type Result } from "true-myth/result";
+import { asList, asRec, isRec, parseJson, type Rec } from "../trackbed/shape.js";
+import { parseSpan, SECOND } from "../trackbed/span.js";
+import { makeRegister, type Register } from "./register.js";
+
+/** What the operator's calls can be wrong in; each is answered by a row of the table of outcomes. */
+export type PlanMishap =
+  | { readonly kind: "unreadable"; readonly sentence: string }
+  | { readonly kind: "wrong"; readonly sentence: string }
+  | { readonly kind: "unknown-service"; readonly sentence: string };
+
+const MAX_GIVE_UP_US = 600 * SECOND;
+
+export const routeKey = (name: string): string => `route/${name}`;
+export const serviceKey = (name: string): string => `service/${name}`;
+export const LIMITS_KEY = "limits";
+
+export const isPlanKey = (key: string): boolean => key === LIMITS_KEY || key.startsWith("route/") || key.startsWith("service/");
+
+const spanOver0 = (value: unknown): void => {
+  if (!(parseSpan(value).unwrapOr(0) > 0)) throw new Error("must be a span above 0, such as 1500ms");
+};
+const named = (value: unknown): void => {
+  if (typeof value !== "string" || value === "") throw new Error("must be a text that is not empty");
+};
+const version = (value: unknown): void => {
+  if (!Number.isSafeInteger(value) || Number(value) < 0) throw new Error("must be a whole number of 0 or more");
+};
+convict.addFormats({
+  "plan-version": { validate: version },
+  named: { validate: named },
+  "span-over-0": { validate: spanOver0 },
+  "give-up": {
+    validate: (value: unknown) => {
+      spanOver0(value);
+      if (parseSpan(value).unwrapOr(0) > MAX_GIVE_UP_US) throw new Error("must be ten minutes or less");
+    },
+  },
+  "path-start": {
+    validate: (value: unknown) => {
+      if (typeof value !== "string" || !value.startsWith("/")) throw new Error("must begin with a slash");
+    },
+  },
+  destination: {
+    validate: (value: unknown) => {
+      if (!isRec(value)) throw new Error("must be a table");
+      if (value["shares"] === undefined) return named(value["service"]);
+      const shares = asList(value["shares"]).map((share) => asRec(share));
+      shares.forEach((share) => named(share["service"]));
+      const total = shares.reduce((sum, share) => sum + (typeof share["share"] === "number" && share["share"] >= 0 ? share["share"] : Number.NaN), 0);
+      if (!(total > 0)) throw new Error("must have shares that add up to more than 0");
+    },
+  },
+});
+
+const routeSchema = () =>
+  convict({
+    name: { format: "named", default: "" },
+    host: { format: "named", default: "" },
+    version: { format: "plan-version", default: -1 },
+    routeKind: { format: ["safe", "unsafe"], default: "" },
+    target_time: { format: "span-over-0", default: "" },
+    rank: { format: "nat", default: 0 },
+    matchOn: { pathStart: { format: "path-start", default: "" } },
+    then: {
+      format: "destination",
+      default: {},
+    },
+    giveUp: { format: "give-up", default: "" },
+    tries: { format: "nat", default: 1 },
+  });
+
+const serviceSchema = () =>
+  convict({
+    name: { format: "named", default: "" },
+    version: { format: "plan-version", default: -1 },
+    statusPath: { format: "path-start", default: "" },
+    maxConnections: { format: "nat", default: 0 },
+  });
+
+const limitsSchema = () =>
+  convict({
+    version: { format: "plan-version", default: -1 },
+    maxHeaderBytes: { format: "nat", default: 0 },
+    maxBodyBytes: { format: "nat", default: 0 },
+    headerWait: { format: "span-over-0", default: "" },
+    idle: { format: "span-over-0", default: "" },
+  });
+
+const check = (schema: { load: (conf: Rec) => unknown; validate: () => unknown }, value: Rec): void => {
+  schema.load(value);
+  schema.validate();
+};
+
+const pick = (rec: Rec, fields: readonly string[]): Rec => {
+  const kept = fields.filter((field) => rec[field] !== undefined).map((field): [string, unknown] => [field, rec[field]]);
+  return Object.fromEntries(kept);
+};
+
+const routeRegister = (host: unknown, value: unknown): Register => {
+  const rule = asRec(value, "rule");
+  const then = asRec(rule["then"], "then");
+  const matchOn = asRec(rule["matchOn"], "matchOn");
+  const flat = {
+    ...pick(rule, ["name", "version", "routeKind", "target_time", "rank"]),
+    ...pick(then, ["giveUp", "tries"]),
+    host,
+    matchOn: pick(matchOn, ["pathStart"]),
+    then: pick(then, ["service", "shares"]),
+  };
+  check(routeSchema(), flat);
+  return makeRegister(routeKey(String(rule["name"])), Number(rule["version"]), JSON.stringify({ host, rule }));
+};
+
+const serviceRegister = (value: unknown): Register => {
+  const group = asRec(value, "group");
+  check(serviceSchema(), pick(group, ["name", "version", "statusPath", "maxConnections"]));
+  return makeRegister(serviceKey(String(group["name"])), Number(group["version"]), JSON.stringify(group));
+};
+
+const limitsRegister = (value: unknown): Register => {
+  const limits = asRec(value, "limits");
+  check(limitsSchema(), pick(limits, ["version", "maxHeaderBytes", "maxBodyBytes", "headerWait", "idle"]));
+  return makeRegister(LIMITS_KEY, Number(limits["version"]), JSON.stringify(limits));
+};
+
+const dropRegister =
+  (keyOf: (name: string) => string) =>
+  (value: unknown): Register => {
+    const rec = asRec(value, "remove");
+    named(rec["name"]);
+    version(rec["version"]);
+    return makeRegister(keyOf(String(rec["name"])), Number(rec["version"]), "", true);
+  };
+
+const listOf = (value: unknown, field: string): readonly unknown[] => (value === undefined ? [] : asList(value, field));
+
+export const readCall = (body: string): Result<readonly Register[], PlanMishap> => {
+  let call: Rec;
+  try {
+    call = asRec(parseJson(body), "the call");
+  } catch {
+    return err({ kind: "unreadable", sentence: "the call is no whole JSON table" });
+  }
+  try {
+    const put = call["putItems"] === undefined ? {} : asRec(call["putItems"], "putItems");
+    const remove = call["remove"] === undefined ? {} : asRec(call["remove"], "remove");
+    const routes = listOf(put["listeners"], "listeners").flatMap((value) => {
+      const listener = asRec(value, "listener");
+      named(listener["host"]);
+      return listOf(listener["rules"], "rules").map((rule) => routeRegister(listener["host"], rule));
+    });
+    const services = listOf(put["groups"], "groups").map(serviceRegister);
+    const limits = put["limits"] === undefined ? [] : [limitsRegister(put["limits"])];
+    const dropped = [
+      ...listOf(remove["routes"], "routes").map(dropRegister(routeKey)),
+      ...listOf(remove["groups"], "groups").map(dropRegister(serviceKey)),
+    ];
+    return ok([...limits, ...services, ...routes, ...dropped]);
+  } catch (mishap) {
+    const sentence = mishap instanceof Error ? (mishap.message.split("\n")[0] ?? "") : "the call is wrong";
+    return err({ kind: "wrong", sentence });
+  }
+};
+
+const servicesOf = (route: Register): readonly string[] => {
+  const then = asRec(asRec(asRec(parseJson(route.body))["rule"])["then"]);
+  const shares = then["shares"];
+  return shares === undefined ? [String(then["service"])] : asList(shares).map((share) => String(asRec(share)["service"]));
+};
+
+/** The first service that a route of the call names and nobody knows, neither the call nor the copy. */
+export const unknownService = (call: readonly Register[], held: (key: string) => Register | undefined): string | undefined => {
+  const inCall = new Map(call.filter((register) => register.key.startsWith("service/")).map((register) => [register.key, register]));
+  const known = (name: string): boolean => {
+    const key = serviceKey(name);
+    const put = inCall.get(key);
+    const here = held(key);
+    const newest = put && (!here || put.version > here.version) ? put : here;
+    return newest !== undefined && !newest.dropped;
+  };
+  return call
+    .filter((register) => register.key.startsWith("route/") && !register.dropped)
+    .flatMap(servicesOf)
+    .find((name) => !known(name));
+};
+
+/** All that stands, laid out as in the operator's first call. */
+export const layOut = (registers: readonly Register[]): Rec => {
+  const standing = registers.filter((register) => !register.dropped);
+  const limits = standing.find((register) => register.key === LIMITS_KEY);
+  const groups = standing.filter((register) => register.key.startsWith("service/")).map((register) => parseJson(register.body));
+  const byHost = new Map<string, unknown[]>();
+  standing
+    .filter((register) => register.key.startsWith("route/"))
+    .forEach((register) => {
+      const rec = asRec(parseJson(register.body));
+      const host = String(rec["host"]);
+      byHost.set(host, [...(byHost.get(host) ?? []), rec["rule"]]);
+    });
+  const listeners = [...byHost].map(([host, rules]) => ({ host, rules }));
+  return { ...(limits ? { limits: parseJson(limits.body) } : {}), listeners, groups };
+};
--- /dev/null
+++ b/src/programs/control.ts
@@ -0,0 +1,117 @@
+import { err, type Result } from "true-myth/result";
+import { layOut, readCall, unknownService, isPlanKey, type PlanMishap } from "../interlocking/check.js";
+import type { Ledger, LedgerMishap } from "../interlocking/ledger.js";
+import type { Register } from "../interlocking/register.js";
+import { readBeat, type Beat, type Registry } from "../signalling/registry.js";
+import type { OutcomeName } from "../trackbed/outcomes.js";
+import { isRec, parseJson, text, type Rec } from "../trackbed/shape.js";
+import type { Call, Entry, Verdict } from "./dispatch.js";
+
+/** What can go wrong with a call, in this layer's own words. */
+export type CallMishap = { readonly outcome: OutcomeName; readonly sentence: string };
+
+const ofPlan = (mishap: PlanMishap): CallMishap => ({ outcome: mishap.kind === "unreadable" ? "unreadable" : "wrong", sentence: mishap.sentence });
+
+const ofLedger = (mishap: LedgerMishap): CallMishap => ({
+  outcome: "noQuorum",
+  sentence: mishap.kind === "no-quorum" ? `only ${mishap.held} of ${mishap.needed} copies hold it` : `the ${mishap.what} is stale`,
+});
+
+const verdictOf = (result: Result<Rec, CallMishap>): Verdict =>
+  result.isOk ? { outcome: "taken", body: result.value } : { outcome: result.error.outcome, body: { problem: result.error.sentence } };
+
+export interface ControlOptions {
+  readonly ledger: Ledger;
+  readonly registry: Registry;
+  readonly isAdrift: () => boolean;
+  /** Tells the colleagues of beats; resolves to true once a majority holds them. */
+  readonly share: (beats: readonly Beat[], waits: boolean) => Promise<boolean>;
+  /** Where a worker of this cell should send its later beats, if not here. */
+  readonly reportTo: (cell: string) => string | undefined;
+}
+
+/** What changes something. */
+export class Commands {
+  constructor(private readonly options: ControlOptions) {}
+
+  readonly changePlan = async (call: Call): Promise<Verdict> => {
+    const read = readCall(call.body);
+    if (read.isErr) return verdictOf(err(ofPlan(read.error)));
+    const written = await this.write(read.value);
+    return verdictOf(written);
+  };
+
+  readonly beat = async (call: Call): Promise<Verdict> => {
+    const { registry, isAdrift, share, reportTo } = this.options;
+    let beat: Beat;
+    try {
+      beat = readBeat(call.segments[1] ?? "", parseJson(call.body));
+    } catch (mishap) {
+      return { outcome: "wrong", body: { problem: mishap instanceof Error ? mishap.message : "unreadable" } };
+    }
+    if (isAdrift()) return { outcome: "adrift" };
+    registry.take(beat);
+    const held = registry.get(beat.id) ?? beat;
+    const shared = await share([held], beat.state !== "ready");
+    if (!shared) return { outcome: "noQuorum" };
+    const address = reportTo(beat.cell);
+    return { outcome: "taken", body: address === undefined ? {} : { reportTo: address } };
+  };
+
+  readonly leave = async (call: Call): Promise<Verdict> => {
+    const { registry, isAdrift, share } = this.options;
+    if (isAdrift()) return { outcome: "adrift" };
+    const left = registry.leave(call.segments[1] ?? "");
+    if (!left) return { outcome: "taken" };
+    return (await share([left], true)) ? { outcome: "taken" } : { outcome: "noQuorum" };
+  };
+
+  private readonly write = async (call: readonly Register[]): Promise<Result<Rec, CallMishap>> => {
+    const { ledger } = this.options;
+    const read = await ledger.read();
+    if (read.isErr) return read.mapErr(ofLedger).map(() => ({}));
+    const unknown = unknownService(call, ledger.get);
+    if (unknown !== undefined) return err({ outcome: "wrong", sentence: `a route names the unknown service ${unknown}` });
+    const written = await ledger.write(call);
+    return written.mapErr(ofLedger).map(() => ({}));
+  };
+}
+
+/** What only tells something. */
+export class Queries {
+  constructor(private readonly ledger: Ledger, private readonly tellers: Readonly<Record<string, () => unknown>>) {}
+
+  readonly readPlan = async (): Promise<Verdict> => {
+    const mended = await this.ledger.readAndMend();
+    const plan = mended.mapErr(ofLedger).map(() => layOut(this.ledger.all().filter((register) => isPlanKey(register.key))));
+    return verdictOf(plan);
+  };
+
+  readonly tell = async (call: Call): Promise<Verdict> => {
+    const teller = this.tellers[call.segments[1] ?? ""];
+    return teller ? { outcome: "taken", body: { [call.segments[1] ?? ""]: teller() } } : { outcome: "unknownCall" };
+  };
+}
+
+export const controlEntries = (commands: Commands, queries: Queries, shift: (cell: string, why: string) => Promise<boolean>): readonly Entry[] => [
+  { method: "POST", path: "/plan/change", act: commands.changePlan },
+  { method: "GET", path: "/plan/read", act: queries.readPlan },
+  { method: "POST", path: "/workers/*/heartbeat", act: commands.beat },
+  { method: "POST", path: "/workers/*/leave", act: commands.leave },
+  { method: "GET", path: "/tell/*", act: queries.tell },
+  {
+    method: "POST",
+    path: "/cells/shift",
+    act: async (call) => {
+      let asked: Rec;
+      try {
+        const value = parseJson(call.body);
+        asked = isRec(value) ? value : {};
+        text(asked, "cell");
+      } catch {
+        return { outcome: "wrong", body: { problem: "cell must be text" } };
+      }
+      return (await shift(text(asked, "cell"), asked["why"] === "practice" ? "practice" : "by hand")) ? { outcome: "taken" } : { outcome: "noQuorum" };
+    },
+  },
+];
--- /dev/null
+++ b/src/programs/pointsman.ts
@@ -0,0 +1,155 @@
+import { FaultCounts } from "../inspection/counts.js";
+import { Board } from "../signalling/board.js";
+import { Feeder, type Crew } from "../signalling/feeder.js";
+import { Switchboard } from "../signalling/switchboard.js";
+import { Taker } from "../signalling/taker.js";
+import { Allowance } from "../traction/allowance.js";
+import { Front } from "../traction/front.js";
+import { RouteTable } from "../traction/routes.js";
+import { Yard } from "../traction/yard.js";
+import { rest, type Clock } from "../trackbed/clock.js";
+import { logFor } from "../trackbed/log.js";
+import type { Settings } from "../trackbed/settings.js";
+import { MS, SECOND } from "../trackbed/span.js";
+import type { Message, Wire } from "../trackbed/wire.js";
+import { serveCalls } from "./dispatch.js";
+import type { Running } from "./signalbox.js";
+
+const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
+const REPORT_US = 2 * SECOND;
+/** How long after SIGTERM new connections may still come, until everyone has seen that this node is not ready. */
+const NOTICE_US = 2_800 * MS;
+const END_MARGIN_US = 400 * MS;
+
+/** Puts the data plane together on one machine. */
+export const runPointsman = async (settings: Settings, clock: Clock): Promise<Running> => {
+  const log = logFor("pointsman");
+  const board = new Board(clock);
+  const table = new RouteTable();
+  const yard = new Yard(clock);
+  const counts = new FaultCounts(`${process.pid}-${clock.nowUs()}-${Math.random()}`);
+  const allowances = new Map<string, Allowance>();
+  const tallies = new Map<string, number>();
+  let crew: Crew = { pointsmen: 1, cells: {} };
+  let leaving = false;
+
+  const allowanceOf = (service: string): Allowance => {
+    const known = allowances.get(service);
+    if (known) return known;
+    const fresh = new Allowance(clock, { ratio: settings.retryRatio, windowUs: settings.retryWindowUs, slack: settings.retrySlack });
+    fresh.setCrew(crew.pointsmen);
+    allowances.set(service, fresh);
+    return fresh;
+  };
+  const connectionShare = (service: string): number =>
+    Math.max(1, Math.floor((table.service(service)?.maxConnections ?? 16) / Math.max(1, crew.pointsmen)));
+
+  const front = new Front({
+    clock,
+    log: logFor("front"),
+    cell: settings.cell,
+    table,
+    yard,
+    allowanceOf,
+    connectionShare,
+    countFault: counts.count,
+    tally: (route, kind, outcome) => {
+      const key = `${route}|${kind}|${settings.cell}|${outcome}`;
+      tallies.set(key, (tallies.get(key) ?? 0) + 1);
+    },
+    random: Math.random,
+  });
+
+  const taker = new Taker({
+    name: settings.name,
+    cell: settings.cell,
+    relay: `${settings.ip}:${settings.relayPort}`,
+    seeds: settings.seedNodes,
+    signalPort: settings.signalPort,
+    clock,
+    times: TIMES,
+    board,
+    log: logFor("taker"),
+  });
+  const feeder = new Feeder(clock, board, () => false);
+  const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+    if (!taker.isFed) return;
+    feeder.adopt(wire);
+    for await (const message of incoming) log.debug(`A child said ${message.kind}.`);
+    feeder.release(wire);
+  };
+  const relay = new Switchboard(clock, TIMES, { child: serveChild }, logFor("relay"));
+
+  board.events.on("changed", (facts) => {
+    table.take(facts);
+    yard.take(facts);
+    front.takeLimits();
+    front.wake();
+  });
+  board.events.on("forgotten", (keys) => {
+    yard.forget(keys);
+    keys.forEach((key) => counts.forget(key));
+  });
+  taker.events.on("crew", (told) => {
+    crew = told;
+    allowances.forEach((allowance) => allowance.setCrew(told.pointsmen));
+    feeder.setCrew(told);
+  });
+
+  const isReady = (): boolean => !leaving && table.isHeld && yard.size > 0;
+  const ready = await serveCalls(settings.ready, [
+    { method: "GET", path: "/ready", act: async () => ({ outcome: isReady() ? "taken" : "noPlan" }) },
+    {
+      method: "GET",
+      path: "/tell/counts",
+      act: async () => ({
+        outcome: "taken",
+        body: {
+          counts: [...tallies].map(([key, count]) => {
+            const [route, kind, cell, outcome] = key.split("|");
+            return { route, kind, cell, outcome, count };
+          }),
+        },
+      }),
+    },
+    {
+      method: "GET",
+      path: "/tell/workers",
+      act: async () => ({
+        outcome: "taken",
+        body: {
+          workers: yard.all().map((worker) => ({ id: worker.id, service: worker.service, cell: worker.cell, state: worker.state, usage: worker.usage(), ejected: yard.isEjected(worker) })),
+        },
+      }),
+    },
+  ]);
+  await front.listen(settings.front);
+  await relay.listen(settings.ip, settings.relayPort);
+  void taker.run();
+  const report = clock.every(REPORT_US, () => {
+    const message = counts.takeReport();
+    if (message) taker.report(message);
+    yard.trim();
+    if (!taker.isFed) feeder.closeAll();
+  });
+  log.info(`Up at ${settings.front}.`);
+
+  return {
+    stop: async () => {
+      const endUs = clock.nowUs() + settings.graceUs - END_MARGIN_US;
+      log.info("Leaving.");
+      leaving = true;
+      front.beginLeaving();
+      await rest(clock, Math.min(NOTICE_US, (settings.graceUs - END_MARGIN_US) / 2));
+      front.stopListening();
+      while (front.openRequests > 0 && clock.nowUs() < endUs) {
+        await rest(clock, 50 * MS);
+        front.closeIdle();
+      }
+      report.stop();
+      taker.stop();
+      relay.close();
+      ready.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/signalbox.ts
@@ -0,0 +1,263 @@
+import { Archive } from "../interlocking/archive.js";
+import { isPlanKey } from "../interlocking/check.js";
+import { Duty } from "../interlocking/duty.js";
+import { Ledger, membersOf, ROSTER_KEY, STORE_WAIT_US } from "../interlocking/ledger.js";
+import { makeRegister, Registers, type Register } from "../interlocking/register.js";
+import { Inspector, NO_DECISIONS, readDecisions, type Decisions } from "../inspection/inspector.js";
+import { TERMS } from "../inspection/ranking.js";
+import { Board, EJECTIONS_KEY, PLAN_PREFIX, type NewFact } from "../signalling/board.js";
+import { Colleagues } from "../signalling/colleagues.js";
+import { Feeder } from "../signalling/feeder.js";
+import { readSharedBeat, Registry, type Beat } from "../signalling/registry.js";
+import { Sessions } from "../signalling/sessions.js";
+import { Switchboard } from "../signalling/switchboard.js";
+import type { Clock } from "../trackbed/clock.js";
+import { logFor } from "../trackbed/log.js";
+import type { Settings } from "../trackbed/settings.js";
+import { flag, list, parseJson, text, asRec } from "../trackbed/shape.js";
+import { MS, SECOND } from "../trackbed/span.js";
+import type { Message, Wire } from "../trackbed/wire.js";
+import { Commands, controlEntries, Queries } from "./control.js";
+import { serveCalls } from "./dispatch.js";
+
+const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
+const SWEEP_US = 1 * SECOND;
+const EJECTIONS_REGISTER = "duty/ejections";
+const EPOCH_ROOM = 1_000_000;
+
+export interface Running {
+  readonly stop: () => Promise<void>;
+}
+
+const factOf = (register: Register): NewFact => ({
+  key: PLAN_PREFIX + register.key,
+  version: register.version,
+  tie: register.digest,
+  body: { dropped: register.dropped, item: register.body },
+});
+
+/** Puts the control plane together on one machine. */
+export const runSignalbox = async (settings: Settings, clock: Clock): Promise<Running> => {
+  const log = logFor("signalbox");
+  const self = settings.control;
+  const board = new Board(clock);
+  const registry = new Registry(clock, board, settings.heartbeatUs);
+  const feeder = new Feeder(clock, board, registry.isComplete);
+  const colleagues = new Colleagues({ self, cell: settings.cell, signalPort: settings.signalPort, clock, times: TIMES });
+  const registers = new Registers();
+  const archive = new Archive(settings.dataFolder, registers.all);
+  const ledger = new Ledger({
+    self,
+    registers,
+    archive,
+    seeds: settings.seedNodes,
+    asker: colleagues,
+    clock,
+    withstandMachines: settings.withstandMachines,
+    log: logFor("ledger"),
+  });
+  const duty = new Duty({
+    self,
+    ledger,
+    clock,
+    log: logFor("duty"),
+    stands: colleagues.stands,
+    ask: colleagues.ask,
+    hasDisk: archive.hasDisk,
+    withstandMachines: settings.withstandMachines,
+    patienceUs: 1_500 * MS,
+  });
+
+  const isAdrift = (): boolean => {
+    const members = ledger.members();
+    const standing = members.filter((id) => colleagues.stands(id) && (id !== self || ledger.isCounting));
+    return members.length === 0 || standing.length <= members.length / 2;
+  };
+  /** Invariant: true once a majority has been read in this life, so that what is fed is never a part of the plan. */
+  let hasMended = false;
+  const isFit = () => hasMended && !isAdrift();
+  const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes });
+
+  const decisions = (): Decisions => {
+    const register = ledger.get(EJECTIONS_REGISTER);
+    return register ? readDecisions(parseJson(register.body)) : NO_DECISIONS;
+  };
+  const inspector = new Inspector({
+    clock,
+    log: logFor("inspection"),
+    terms: TERMS,
+    isHolder: duty.isHolder,
+    epoch: duty.epoch,
+    workers: () =>
+      registry.all().filter((beat) => beat.state !== "gone").map((beat) => ({ id: beat.id, service: beat.service, cell: beat.cell, missing: beat.state === "missing" })),
+    decisions,
+    publish: async (wanted) => {
+      const epoch = duty.epoch();
+      const last = ledger.get(EJECTIONS_REGISTER)?.version ?? 0;
+      const version = Math.max(last + 1, epoch * EPOCH_ROOM);
+      return (await ledger.write([makeRegister(EJECTIONS_REGISTER, version, JSON.stringify(wanted))], epoch)).isOk;
+    },
+  });
+
+  const share = async (beats: readonly Beat[], waits: boolean): Promise<boolean> => {
+    const message: Message = { kind: "beats", beats };
+    if (!waits) {
+      colleagues.send(message);
+      return true;
+    }
+    colleagues.known().filter((id) => !ledger.members().includes(id)).forEach((id) => void colleagues.ask(id, message, STORE_WAIT_US));
+    const held = await ledger.gather(message, (reply) => reply.kind === "took", async () => true, () => [ledger.members()], STORE_WAIT_US);
+    return held.isOk;
+  };
+
+  const takeBeats = (message: Message): void => {
+    list(message, "beats", (value) => {
+      const rec = asRec(value, "beat");
+      const beat = readSharedBeat(rec);
+      const ageUs = typeof rec["ageUs"] === "number" ? rec["ageUs"] : 0;
+      if (beat.state === "gone" && registry.get(beat.id)) registry.drop(beat.id);
+      else registry.take(beat, ageUs);
+    });
+  };
+
+  const tellCrew = (): void => feeder.setCrew(sessions.crew());
+
+  const shiftHere = (cell: string, why: string): Promise<boolean> => (why === "practice" ? inspector.practise(cell) : inspector.shiftByHand(cell));
+  const shift = async (cell: string, why: string): Promise<boolean> => {
+    if (duty.isHolder()) return shiftHere(cell, why);
+    const reply = await colleagues.ask(duty.holder(), { kind: "shift", cell, why }, STORE_WAIT_US);
+    return reply !== undefined && flag(reply, "yes");
+  };
+
+  /** What a colleague's connection brings; what it asks is answered on the same connection. */
+  const answerColleague = async (message: Message): Promise<Message | undefined> => {
+    switch (message.kind) {
+      case "read":
+      case "store":
+        return ledger.answer(message);
+      case "vote":
+      case "join":
+      case "leave":
+      case "succeed":
+        return duty.answer(message);
+      case "shift":
+        return { kind: "done", yes: await shiftHere(text(message, "cell"), text(message, "why")) };
+      case "beats":
+        takeBeats(message);
+        return { kind: "took" };
+      case "settled":
+        ledger.hearSettled(message);
+        return undefined;
+      case "faults":
+        inspector.take(message);
+        return undefined;
+      default:
+        return undefined;
+    }
+  };
+  const serveColleague = async (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+    const from = text(hello, "from");
+    wire.send({ ...colleagues.hello(), kind: "welcome" });
+    colleagues.meet(hello);
+    for await (const message of incoming) {
+      if (message.kind === "sessions") sessions.hear(from, message);
+      else
+        void answerColleague(message)
+          .then((reply) => {
+            if (reply && typeof message["ask"] === "number") wire.send({ ...reply, re: message["ask"] });
+          })
+          .catch((mishap: unknown) => log.warn(`A colleague's message failed: ${String(mishap)}.`));
+    }
+  };
+  const switchboard = new Switchboard(clock, TIMES, { colleague: serveColleague, pointsman: sessions.serve }, logFor("switchboard"));
+
+  ledger.events.on("settled", (settled) => {
+    const facts = settled.filter((register) => isPlanKey(register.key)).map(factOf);
+    const ejections = settled.find((register) => register.key === EJECTIONS_REGISTER);
+    board.post(facts);
+    if (ejections) board.post([{ key: EJECTIONS_KEY, version: ejections.version, tie: ejections.digest, body: asRec(parseJson(ejections.body)) }]);
+    const roster = settled.find((register) => register.key === ROSTER_KEY);
+    if (roster) colleagues.learn(membersOf(roster));
+  });
+  sessions.events.on("own", () => {
+    colleagues.send(sessions.pack());
+    tellCrew();
+  });
+  sessions.events.on("changed", tellCrew);
+  sessions.events.on("report", (message) => {
+    if (message.kind !== "faults") return;
+    if (duty.isHolder()) inspector.take(message);
+    else void colleagues.ask(duty.holder(), message, 0);
+  });
+  colleagues.events.on("up", (id) => {
+    log.info(`Link to ${id} stands.`);
+    colleagues.send({ kind: "beats", beats: registry.packAll() });
+    colleagues.send(sessions.pack());
+    sessions.tellBoxes();
+  });
+  colleagues.events.on("down", (id) => {
+    log.info(`Link to ${id} is down.`);
+    sessions.forget(id);
+    sessions.tellBoxes();
+    if (isAdrift()) sessions.dismiss();
+  });
+
+  let sweeping = false;
+  const sweep = async (): Promise<void> => {
+    if (sweeping) return;
+    sweeping = true;
+    const mended = await ledger.readAndMend();
+    if (mended.isOk && ledger.isCounting) hasMended = true;
+    sweeping = false;
+  };
+  let wasComplete = false;
+  const round = (): void => {
+    registry.sweep();
+    if (!wasComplete && registry.isComplete()) feeder.sendWhole();
+    wasComplete = registry.isComplete();
+    void sweep();
+  };
+
+  await ledger.start(settings.firstRun);
+  await switchboard.listen(settings.ip, settings.signalPort);
+  colleagues.learn([...settings.seedNodes, ...ledger.members()]);
+  const commands = new Commands({
+    ledger,
+    registry,
+    isAdrift,
+    share,
+    reportTo: (cell) => {
+      const box = colleagues.boxes().find((candidate) => candidate.cell === cell);
+      return box === undefined || box.id === self || settings.cell === cell ? undefined : box.id;
+    },
+  });
+  const queries = new Queries(ledger, {
+    nodes: sessions.nodes,
+    workers: registry.all,
+    duty: () => ({ holder: duty.holder(), epoch: duty.epoch(), here: duty.isHolder(), roster: ledger.members(), counting: ledger.isCounting }),
+    inspection: inspector.explain,
+  });
+  const server = await serveCalls(settings.control, controlEntries(commands, queries, shift));
+  const early = clock.every(100 * MS, () => {
+    if (hasMended) early.stop();
+    else void sweep();
+  });
+  const pulse = clock.every(SWEEP_US, round);
+  duty.start();
+  inspector.start();
+  log.info(`Up at ${self}.`);
+
+  return {
+    stop: async () => {
+      log.info("Leaving.");
+      inspector.stop();
+      await duty.handOver();
+      pulse.stop();
+      server.close();
+      server.closeIdleConnections();
+      switchboard.close();
+      colleagues.stop();
+    },
+  };
+};
+
--- /dev/null
+++ b/src/signalling/colleagues.ts
@@ -0,0 +1,73 @@
+import Emittery from "emittery";
+import type { Clock } from "../trackbed/clock.js";
+import { list, textOf } from "../trackbed/shape.js";
+import { splitAddress } from "../trackbed/settings.js";
+import type { Message, WireTimes } from "../trackbed/wire.js";
+import { Link } from "./link.js";
+
+export interface ColleagueOptions {
+  /** This signalbox's id: its control address. */
+  readonly self: string;
+  readonly cell: string;
+  readonly signalPort: number;
+  readonly clock: Clock;
+  readonly times: WireTimes;
+}
+
+/** Links to every other signalbox that is known; each tells the others whom it knows. */
+export class Colleagues {
+  readonly events = new Emittery<{ up: string; down: string; met: string }>();
+  private readonly links = new Map<string, Link>();
+  private readonly cells = new Map<string, string>();
+
+  constructor(private readonly options: ColleagueOptions) {
+    this.cells.set(options.self, options.cell);
+  }
+
+  readonly known = (): readonly string[] => [...this.links.keys()];
+
+  readonly stands = (id: string): boolean => id === this.options.self || this.links.get(id)?.stands === true;
+
+  readonly cellOf = (id: string): string => this.cells.get(id) ?? "";
+
+  /** Every standing signalbox with its cell, this one included. */
+  readonly boxes = (): readonly { readonly id: string; readonly cell: string }[] =>
+    [this.options.self, ...this.known().filter(this.stands)].map((id) => ({ id, cell: this.cellOf(id) }));
+
+  readonly hello = (): Message => ({ kind: "colleague", from: this.options.self, cell: this.options.cell, known: [this.options.self, ...this.known()] });
+
+  /** Takes what a hello or a welcome of a colleague tells. */
+  readonly meet = (hello: Message): void => {
+    if (typeof hello["from"] === "string" && typeof hello["cell"] === "string") this.cells.set(hello["from"], hello["cell"]);
+    this.learn(list(hello, "known", textOf));
+  };
+
+  readonly learn = (ids: readonly string[]): void => {
+    ids.filter((id) => id !== this.options.self && id !== "" && !this.links.has(id)).forEach(this.open);
+  };
+
+  readonly forget = (id: string): void => {
+    this.links.get(id)?.stop();
+    this.links.delete(id);
+  };
+
+  readonly send = (message: Message): void => this.links.forEach((link) => link.send(message));
+
+  readonly ask = (id: string, message: Message, waitUs: number): Promise<Message | undefined> =>
+    this.links.get(id)?.ask(message, waitUs) ?? Promise.resolve(undefined);
+
+  readonly stop = (): void => this.links.forEach((link) => link.stop());
+
+  private readonly open = (id: string): void => {
+    const { clock, times, signalPort } = this.options;
+    const link = new Link({ ip: splitAddress(id).ip, port: signalPort, clock, times, dialUs: times.silenceUs, restUs: times.pulseUs, hello: this.hello });
+    this.links.set(id, link);
+    link.events.on("up", (welcome) => {
+      this.meet(welcome);
+      void this.events.emit("up", id);
+    });
+    link.events.on("down", () => void this.events.emit("down", id));
+    void this.events.emit("met", id);
+    void link.run();
+  };
+}
--- /dev/null
+++ b/src/signalling/feeder.ts
@@ -0,0 +1,87 @@
+import type { Clock, Pulse } from "../trackbed/clock.js";
+import { MS } from "../trackbed/span.js";
+import type { Message, Wire } from "../trackbed/wire.js";
+import type { Board } from "./board.js";
+
+/** How many live pointsmen there are, all in all and by cell. */
+export interface Crew {
+  readonly pointsmen: number;
+  readonly cells: Readonly<Record<string, number>>;
+}
+
+const GATHER_US = 4 * MS;
+
+/**
+ * Hands the news on to the children of this node in the relay tree: everything on joining, then what changed.
+ * Invariant: a child has been sent every fact of the board, but for those in `changed`, which the next pulse sends.
+ */
+export class Feeder {
+  private readonly children = new Set<Wire>();
+  private readonly changed = new Set<string>();
+  private readonly forgotten = new Set<string>();
+  private flushPulse: Pulse | undefined;
+  private crew: Crew = { pointsmen: 0, cells: {} };
+
+  constructor(private readonly clock: Clock, private readonly board: Board, private readonly isComplete: () => boolean) {
+    board.events.on("changed", (facts) => {
+      facts.forEach((fact) => this.changed.add(fact.key));
+      this.flushSoon();
+    });
+    board.events.on("forgotten", (keys) => {
+      keys.forEach((key) => this.forgotten.add(key));
+      this.flushSoon();
+    });
+  }
+
+  get size(): number {
+    this.prune();
+    return this.children.size;
+  }
+
+  readonly adopt = (wire: Wire): void => {
+    this.children.add(wire);
+    wire.send(this.whole());
+    wire.send({ kind: "crew", ...this.crew });
+  };
+
+  readonly release = (wire: Wire): void => {
+    this.children.delete(wire);
+  };
+
+  readonly setCrew = (crew: Crew): void => {
+    if (JSON.stringify(crew) === JSON.stringify(this.crew)) return;
+    this.crew = crew;
+    this.sendAll({ kind: "crew", ...crew });
+  };
+
+  /** Sends everything again, for instance once the registry has become complete. */
+  readonly sendWhole = (): void => this.sendAll(this.whole());
+
+  readonly closeAll = (): void => this.children.forEach((wire) => wire.close());
+
+  private readonly whole = (): Message => ({ kind: "news", whole: true, complete: this.isComplete(), facts: this.board.pack(this.board.all()) });
+
+  private readonly flushSoon = (): void => {
+    this.flushPulse ??= this.clock.after(GATHER_US, this.flush);
+  };
+
+  private readonly flush = (): void => {
+    this.flushPulse = undefined;
+    const facts = [...this.changed].flatMap((key) => this.board.get(key) ?? []);
+    const forget = [...this.forgotten].filter((key) => this.board.get(key) === undefined);
+    this.changed.clear();
+    this.forgotten.clear();
+    if (facts.length + forget.length > 0) this.sendAll({ kind: "news", whole: false, complete: false, facts: this.board.pack(facts), forget });
+  };
+
+  private readonly sendAll = (message: Message): void => {
+    this.prune();
+    this.children.forEach((wire) => wire.send(message));
+  };
+
+  private readonly prune = (): void => {
+    this.children.forEach((wire) => {
+      if (wire.isClosed) this.children.delete(wire);
+    });
+  };
+}
--- /dev/null
+++ b/src/signalling/sessions.ts
@@ -0,0 +1,121 @@
+import Emittery from "emittery";
+import type { Clock } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { asRec, list, text, whole, type Rec } from "../trackbed/shape.js";
+import type { Message, Wire } from "../trackbed/wire.js";
+import type { Crew, Feeder } from "./feeder.js";
+
+interface Node {
+  readonly name: string;
+  readonly cell: string;
+  readonly relay: string;
+}
+
+interface Session {
+  readonly node: Node;
+  readonly wire: Wire;
+  /** The relay that feeds this node; empty when the signalbox feeds it itself. */
+  parent: string;
+}
+
+/** How many children one node of the relay tree feeds at most. */
+export const FAN_OUT = 4;
+
+const readNode = (value: unknown): Node => {
+  const rec = asRec(value, "node");
+  return { name: text(rec, "name"), cell: text(rec, "cell"), relay: text(rec, "relay") };
+};
+
+export interface SessionsOptions {
+  readonly clock: Clock;
+  readonly feeder: Feeder;
+  readonly log: Log;
+  /** Whether this signalbox may feed: it has a plan to give and a majority in reach. */
+  readonly isFit: () => boolean;
+  readonly boxes: () => readonly Rec[];
+}
+
+/**
+ * The sessions of pointsmen with this signalbox, and those that colleagues tell of.
+ * Invariant: a node is a member exactly while a session of it stands here or at a colleague whose link stands.
+ */
+export class Sessions {
+  readonly events = new Emittery<{ report: Message; own: undefined; changed: undefined }>();
+  private readonly own = new Map<string, Session>();
+  private readonly told = new Map<string, readonly Node[]>();
+
+  constructor(private readonly options: SessionsOptions) {}
+
+  readonly serve = async (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+    if (!this.options.isFit()) {
+      wire.send({ kind: "adrift", boxes: this.options.boxes() });
+      return;
+    }
+    const node = readNode(hello["node"]);
+    const session: Session = { node, wire, parent: "" };
+    this.own.get(node.name)?.wire.close();
+    this.own.set(node.name, session);
+    this.options.log.info(`${node.name} joined.`);
+    wire.send({ kind: "welcome", boxes: this.options.boxes() });
+    this.assign(session, "");
+    void this.events.emit("own");
+    for await (const message of incoming) {
+      if (message.kind === "lost-news") this.assign(session, text(message, "parent"));
+      else void this.events.emit("report", { ...message, node: node.name });
+    }
+    this.options.feeder.release(wire);
+    if (this.own.get(node.name) !== session) return;
+    this.own.delete(node.name);
+    this.options.log.info(`${node.name} left.`);
+    [...this.own.values()].filter((other) => other.parent === node.relay).forEach((other) => this.assign(other, node.relay));
+    void this.events.emit("own");
+  };
+
+  /** Ends every session, so that the pointsmen look for a signalbox that has a majority. */
+  readonly dismiss = (): void => this.own.forEach((session) => session.wire.close());
+
+  readonly tellBoxes = (): void => this.own.forEach((session) => session.wire.send({ kind: "boxes", boxes: this.options.boxes() }));
+
+  readonly pack = (): Message => ({ kind: "sessions", nodes: [...this.own.values()].map((session) => ({ ...session.node })) });
+
+  readonly hear = (from: string, message: Message): void => {
+    this.told.set(from, list(message, "nodes", readNode));
+    void this.events.emit("changed");
+  };
+
+  readonly forget = (from: string): void => {
+    if (this.told.delete(from)) void this.events.emit("changed");
+  };
+
+  readonly nodes = (): readonly Node[] => {
+    const all = new Map<string, Node>();
+    [...[...this.own.values()].map((session) => session.node), ...[...this.told.values()].flat()].forEach((node) => all.set(node.name, node));
+    return [...all.values()];
+  };
+
+  readonly crew = (): Crew => {
+    const cells: Record<string, number> = {};
+    const nodes = this.nodes();
+    nodes.forEach((node) => {
+      cells[node.cell] = (cells[node.cell] ?? 0) + 1;
+    });
+    return { pointsmen: nodes.length, cells };
+  };
+
+  /** Feeds the node here while there is room, else below the relay with the fewest children. */
+  private readonly assign = (session: Session, failed: string): void => {
+    const { feeder } = this.options;
+    feeder.release(session.wire);
+    const relays = [...this.own.values()].filter((other) => other !== session && other.parent === "" && other.node.relay !== failed);
+    const childrenOf = (relay: string) => [...this.own.values()].filter((other) => other.parent === relay).length;
+    const best = relays.sort((a, b) => childrenOf(a.node.relay) - childrenOf(b.node.relay))[0];
+    session.parent = feeder.size < FAN_OUT || failed !== "" || !best ? "" : best.node.relay;
+    session.wire.send({ kind: "parent", parent: session.parent });
+    if (session.parent === "") feeder.adopt(session.wire);
+  };
+}
+
+export const readCrew = (message: Message): Crew => {
+  const cells = asRec(message["cells"], "cells");
+  return { pointsmen: whole(message, "pointsmen"), cells: Object.fromEntries(Object.keys(cells).map((cell) => [cell, whole(cells, cell)])) };
+};
--- /dev/null
+++ b/src/signalling/taker.ts
@@ -0,0 +1,163 @@
+import Emittery from "emittery";
+import { rest, within, type Clock } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { splitAddress } from "../trackbed/settings.js";
+import { asList, asRec, flag, list, text, textOf } from "../trackbed/shape.js";
+import { MS } from "../trackbed/span.js";
+import { dial, type Message, type Wire, type WireTimes } from "../trackbed/wire.js";
+import { PLAN_PREFIX, WORKER_PREFIX, type Board } from "./board.js";
+import type { Crew } from "./feeder.js";
+import { readCrew } from "./sessions.js";
+
+export interface TakerOptions {
+  readonly name: string;
+  readonly cell: string;
+  readonly relay: string;
+  readonly seeds: readonly string[];
+  readonly signalPort: number;
+  readonly clock: Clock;
+  readonly times: WireTimes;
+  readonly board: Board;
+  readonly log: Log;
+}
+
+export type SessionState = "looking" | "greeting" | "standing";
+
+const LOOK_AGAIN_US = 150 * MS;
+const RELAY_WAIT_US = 600 * MS;
+
+/**
+ * A pointsman's way to the news: one session with a signalbox, and the news from it or from the relay it names.
+ * Cut off, it goes on with the board as it is.
+ */
+export class Taker {
+  readonly events = new Emittery<{ crew: Crew; whole: undefined }>();
+  private state: SessionState = "looking";
+  private boxes: { readonly id: string; readonly cell: string }[] = [];
+  private wire: Wire | undefined;
+  /** Invariant: set exactly while a relay feeds this node. */
+  private relayWire: Wire | undefined;
+  private parent = "";
+  private tried = new Map<string, number>();
+  private stopping = false;
+
+  constructor(private readonly options: TakerOptions) {}
+
+  /** Whether the news comes in, so that children may be fed. */
+  get isFed(): boolean {
+    return this.parent === "" ? this.state === "standing" : this.relayWire !== undefined;
+  }
+
+  readonly run = async (): Promise<void> => {
+    for await (const state of this.life()) this.state = state;
+  };
+
+  readonly stop = (): void => {
+    this.stopping = true;
+    this.wire?.close();
+    this.relayWire?.close();
+  };
+
+  readonly report = (message: Message): void => {
+    if (this.state === "standing") this.wire?.send(message);
+  };
+
+  private async *life(): AsyncGenerator<SessionState, void, undefined> {
+    const { name, cell, relay, signalPort, clock, times, log } = this.options;
+    while (!this.stopping) {
+      yield "looking";
+      const box = this.choose();
+      const wire = await dial(splitAddress(box).ip, signalPort, clock, times.silenceUs / 2, times);
+      if (wire) {
+        yield "greeting";
+        this.wire = wire;
+        wire.send({ kind: "pointsman", node: { name, cell, relay } });
+        const incoming = wire.incoming();
+        const first = await within(clock, times.silenceUs, incoming.next(), undefined);
+        if (first && !first.done) {
+          this.learnBoxes(first.value);
+          if (first.value.kind === "welcome") {
+            log.info(`Session with ${box} stands.`);
+            this.tried.clear();
+            yield "standing";
+            for await (const message of incoming) this.take(message);
+            log.info(`Session with ${box} is over.`);
+          }
+        }
+        wire.close();
+        this.wire = undefined;
+      }
+      this.tried.set(box, clock.nowUs());
+      if (!this.stopping) await rest(clock, LOOK_AGAIN_US);
+    }
+  }
+
+  /** The signalbox of the own cell first, and of the rest the one whose last failure is longest ago. */
+  private readonly choose = (): string => {
+    const { seeds, cell } = this.options;
+    const known = [...new Set([...this.boxes.map((box) => box.id), ...seeds])];
+    const cellOf = (id: string) => this.boxes.find((box) => box.id === id)?.cell;
+    const score = (id: string) => (this.tried.get(id) ?? 0) + (cellOf(id) === cell ? 0 : 1) + Math.random() * 0.5;
+    return known.sort((a, b) => score(a) - score(b))[0] ?? "";
+  };
+
+  private readonly learnBoxes = (message: Message): void => {
+    const told = list(message, "boxes", asRec).map((rec) => ({ id: text(rec, "id"), cell: text(rec, "cell") }));
+    if (told.length > 0) this.boxes = told;
+  };
+
+  private readonly take = (message: Message): void => {
+    switch (message.kind) {
+      case "boxes":
+        return this.learnBoxes(message);
+      case "parent":
+        return this.follow(text(message, "parent"));
+      default:
+        return this.takeNews(message);
+    }
+  };
+
+  private readonly takeNews = (message: Message): void => {
+    const { board } = this.options;
+    if (message.kind === "crew") void this.events.emit("crew", readCrew(message));
+    if (message.kind !== "news") return;
+    const facts = asList(message["facts"], "facts");
+    board.take(facts);
+    board.forget(list(message, "forget", textOf));
+    if (flag(message, "whole")) {
+      if (flag(message, "complete")) this.forgetUntold(new Set(facts.map((fact) => text(asRec(fact), "key"))));
+      void this.events.emit("whole");
+    }
+  };
+
+  /** A complete telling names every worker there is; plan items never vanish, since drops stay as tombstones. */
+  private readonly forgetUntold = (told: ReadonlySet<string>): void => {
+    const { board } = this.options;
+    board.forget(board.all().map((fact) => fact.key).filter((key) => key.startsWith(WORKER_PREFIX) && !told.has(key)));
+  };
+
+  private readonly follow = (parent: string): void => {
+    this.parent = parent;
+    this.relayWire?.close();
+    this.relayWire = undefined;
+    if (parent !== "") void this.feedFrom(parent);
+  };
+
+  private readonly feedFrom = async (parent: string): Promise<void> => {
+    const { clock, times, name } = this.options;
+    const { ip, port } = splitAddress(parent);
+    const wire = await dial(ip, port, clock, RELAY_WAIT_US, times);
+    if (wire && this.parent === parent) {
+      this.relayWire = wire;
+      wire.send({ kind: "child", name });
+      for await (const message of wire.incoming()) {
+        if (this.parent === parent) this.takeNews(message);
+      }
+      if (this.relayWire === wire) this.relayWire = undefined;
+    }
+    wire?.close();
+    if (this.parent === parent) this.report({ kind: "lost-news", parent });
+  };
+}
+
+export const hasPlan = (board: Board): boolean => board.all().some((fact) => fact.key.startsWith(PLAN_PREFIX));
--- /dev/null
+++ b/src/trackbed/clock.ts
@@ -0,0 +1,41 @@
+/** A pulse is a timer that can be stopped. */
+export interface Pulse {
+  readonly stop: () => void;
+}
+
+/** The only source of time. It never tells the time of day: no decision uses wall time. */
+export interface Clock {
+  readonly nowUs: () => number;
+  readonly after: (waitUs: number, act: () => void) => Pulse;
+  readonly every: (gapUs: number, act: () => void) => Pulse;
+}
+
+export class SteadyClock implements Clock {
+  readonly nowUs = (): number => Math.round(performance.now() * 1_000);
+
+  readonly after = (waitUs: number, act: () => void): Pulse => {
+    const timer = setTimeout(act, Math.max(0, Math.ceil(waitUs / 1_000)));
+    return { stop: () => clearTimeout(timer) };
+  };
+
+  readonly every = (gapUs: number, act: () => void): Pulse => {
+    const timer = setInterval(act, Math.max(1, Math.ceil(gapUs / 1_000)));
+    return { stop: () => clearInterval(timer) };
+  };
+}
+
+export const rest = (clock: Clock, waitUs: number): Promise<void> =>
+  new Promise((resolve) => {
+    clock.after(waitUs, resolve);
+  });
+
+/** Resolves to the work's value, or to `late` once the wait is over; a rejected work counts as late too. */
+export const within = <T, L>(clock: Clock, waitUs: number, work: Promise<T>, late: L): Promise<T | L> =>
+  new Promise((resolve) => {
+    const pulse = clock.after(waitUs, () => resolve(late));
+    const finish = (value: T | L) => {
+      pulse.stop();
+      resolve(value);
+    };
+    work.then(finish, () => finish(late));
+  });
--- /dev/null
+++ b/src/trackbed/log.ts
@@ -0,0 +1,22 @@
+import { destination, pino, type Logger } from "pino";
+
+export interface Log {
+  readonly info: (sentence: string) => void;
+  readonly warn: (sentence: string) => void;
+  readonly debug: (sentence: string) => void;
+}
+
+const root: Logger = pino({ base: null, timestamp: false, level: "info" }, destination({ fd: 1, sync: true }));
+
+export const setLogLevel = (level: string): void => {
+  root.level = level;
+};
+
+/** Short sentences, each with the fixed prefix of its part. */
+export const logFor = (part: string): Log => ({
+  info: (sentence) => root.info(`${part}: ${sentence}`),
+  warn: (sentence) => root.warn(`${part}: ${sentence}`),
+  debug: (sentence) => root.debug(`${part}: ${sentence}`),
+});
+
+export const silentLog: Log = { info: () => undefined, warn: () => undefined, debug: () => undefined };
--- /dev/null
+++ b/src/trackbed/outcomes.ts
@@ -0,0 +1,33 @@
+/** The one table of outcomes: what each is answered with, to callers, workers and operators alike. */
+export interface Outcome {
+  readonly status: number;
+  readonly problem: string;
+  /** Whether it promises that the request has not run and never will, and so says when to come back. */
+  readonly comeBack: boolean;
+  readonly closes: boolean;
+}
+
+const row = (status: number, problem: string, comeBack = false, closes = false): Outcome => ({ status, problem, comeBack, closes });
+
+export const OUTCOMES = {
+  taken: row(200, ""),
+  unreadable: row(400, "unreadable"),
+  wrong: row(400, "wrong"),
+  malformed: row(400, "malformed", false, true),
+  unknownRoute: row(404, "no such route"),
+  unknownCall: row(404, "no such call"),
+  unknownWorker: row(404, "no such worker"),
+  noPlan: row(503, "no plan yet", true),
+  full: row(503, "full", true),
+  leaving: row(503, "leaving", true, true),
+  adrift: row(503, "cut off from the majority", true),
+  noQuorum: row(503, "no quorum", true),
+  slowHead: row(408, "the head took too long", false, true),
+  slowBody: row(408, "the body took too long", false, true),
+  bodyTooLarge: row(413, "the body is too large", false, true),
+  headTooLarge: row(431, "the head is too large", false, true),
+  lostAnswer: row(502, "the answer was lost"),
+  tooLate: row(504, "out of time"),
+} as const satisfies Readonly<Record<string, Outcome>>;
+
+export type OutcomeName = keyof typeof OUTCOMES;
--- /dev/null
+++ b/src/trackbed/settings.ts
@@ -0,0 +1,154 @@
+import { readFile } from "node:fs/promises";
+import convict from "convict";
+import { parse } from "smol-toml";
+import { err, ok, type Result } from "true-myth/result";
+import { parseSpan } from "./span.js";
+
+export type SettingsMishap = { readonly kind: "unreadable" | "wrong"; readonly sentence: string };
+
+convict.addFormat({
+  name: "span",
+  validate: (value: unknown) => {
+    if (typeof value !== "number" || !(value >= 0)) throw new Error("must be a span such as 1500ms");
+  },
+  coerce: (value: unknown) => parseSpan(value).unwrapOr(-1),
+});
+convict.addFormat({
+  name: "filled",
+  validate: (value: unknown) => {
+    if (typeof value !== "string" || value === "") throw new Error("must be a text that is not empty");
+  },
+});
+convict.addFormat({
+  name: "texts",
+  validate: (value: unknown) => {
+    if (!Array.isArray(value) || !value.every((entry) => typeof entry === "string")) throw new Error("must be a list of texts");
+  },
+});
+convict.addFormat({
+  name: "port-range",
+  validate: (value: unknown) => {
+    const fits = Array.isArray(value) && value.length === 2 && value.every((port) => Number.isInteger(port) && port > 0 && port < 65_536);
+    if (!fits || Number(value[1]) - Number(value[0]) < 1) throw new Error("must be two ports, the first and the last of a range of two or more");
+  },
+});
+
+const noTexts: string[] = [];
+const noPorts: number[] = [];
+
+const schema = () =>
+  convict({
+    node: {
+      name: { format: "filled", default: "" },
+      role: { format: String, default: "" },
+      cell: { format: "filled", default: "" },
+      ip: { format: "filled", default: "" },
+      sparePorts: { format: "port-range", default: noPorts },
+      seedNodes: { format: "texts", default: noTexts },
+      firstRun: { format: Boolean, default: false },
+      heartbeat: { format: "span", default: -1 },
+      dataFolder: { format: String, default: "" },
+      logLevel: { format: ["debug", "info", "warn", "error", "silent"], default: "info" },
+    },
+    listen: {
+      front: { format: String, default: "" },
+      ready: { format: String, default: "" },
+      control: { format: String, default: "" },
+    },
+    limits: {
+      memoryMb: { format: "nat", default: 0 },
+      fileHandles: { format: "nat", default: 0 },
+    },
+    withstand: { machines: { format: "nat", default: 0 } },
+    bounds: {
+      drain: { format: "span", default: -1 },
+      grace: { format: "span", default: -1 },
+      apply: { format: "span", default: -1 },
+      contact: { format: "span", default: -1 },
+      confirm: { format: "span", default: -1 },
+      retryRatio: { format: Number, default: 0 },
+      retryWindow: { format: "span", default: -1 },
+      retrySlack: { format: Number, default: 0 },
+    },
+  });
+
+/** What a program is told. Spans are whole microseconds. */
+export interface Settings {
+  readonly name: string;
+  readonly cell: string;
+  readonly ip: string;
+  /** Invariant: the first port carries calls between signalboxes and from pointsmen, the second the relays' news. */
+  readonly signalPort: number;
+  readonly relayPort: number;
+  readonly seedNodes: readonly string[];
+  readonly firstRun: boolean;
+  readonly heartbeatUs: number;
+  readonly dataFolder: string;
+  readonly logLevel: string;
+  readonly front: string;
+  readonly ready: string;
+  readonly control: string;
+  readonly memoryMb: number;
+  readonly fileHandles: number;
+  readonly withstandMachines: number;
+  readonly drainUs: number;
+  readonly graceUs: number;
+  readonly applyUs: number;
+  readonly contactUs: number;
+  readonly confirmUs: number;
+  readonly retryRatio: number;
+  readonly retryWindowUs: number;
+  readonly retrySlack: number;
+}
+
+export const checkSettings = (raw: string): Result<Settings, SettingsMishap> => {
+  try {
+    const cfg = schema();
+    cfg.load(parse(raw));
+    cfg.validate();
+    const [firstPort, lastPort] = cfg.get("node.sparePorts");
+    return ok({
+      name: cfg.get("node.name"),
+      cell: cfg.get("node.cell"),
+      ip: cfg.get("node.ip"),
+      signalPort: firstPort ?? 0,
+      relayPort: Math.min((firstPort ?? 0) + 1, lastPort ?? 0),
+      seedNodes: cfg.get("node.seedNodes"),
+      firstRun: cfg.get("node.firstRun"),
+      heartbeatUs: cfg.get("node.heartbeat"),
+      dataFolder: cfg.get("node.dataFolder"),
+      logLevel: cfg.get("node.logLevel"),
+      front: cfg.get("listen.front"),
+      ready: cfg.get("listen.ready"),
+      control: cfg.get("listen.control"),
+      memoryMb: cfg.get("limits.memoryMb"),
+      fileHandles: cfg.get("limits.fileHandles"),
+      withstandMachines: cfg.get("withstand.machines"),
+      drainUs: cfg.get("bounds.drain"),
+      graceUs: cfg.get("bounds.grace"),
+      applyUs: cfg.get("bounds.apply"),
+      contactUs: cfg.get("bounds.contact"),
+      confirmUs: cfg.get("bounds.confirm"),
+      retryRatio: cfg.get("bounds.retryRatio"),
+      retryWindowUs: cfg.get("bounds.retryWindow"),
+      retrySlack: cfg.get("bounds.retrySlack"),
+    });
+  } catch (mishap) {
+    const sentence = (mishap instanceof Error ? mishap.message : String(mishap)).split("\n").filter((line) => line.trim() !== "")[0] ?? "";
+    return err({ kind: "wrong", sentence });
+  }
+};
+
+export const readSettings = async (path: string): Promise<Result<Settings, SettingsMishap>> => {
+  try {
+    return checkSettings(await readFile(path, "utf8"));
+  } catch {
+    return err({ kind: "unreadable", sentence: `the settings file ${path} cannot be read` });
+  }
+};
+
+/** Splits "ip:port"; a wrong one gives port 0. */
+export const splitAddress = (address: string): { readonly ip: string; readonly port: number } => {
+  const cut = address.lastIndexOf(":");
+  return { ip: address.slice(0, cut), port: Number(address.slice(cut + 1)) || 0 };
+};
--- /dev/null
+++ b/src/trackbed/wire.ts
@@ -0,0 +1,123 @@
+import { connect, type Socket } from "node:net";
+import { Packr } from "msgpackr";
+import type { Clock, Pulse } from "./clock.js";
+import { asRec, type Rec } from "./shape.js";
+
+/** A message between own processes; `kind` says which. */
+export type Message = Rec & { readonly kind: string };
+
+export interface WireTimes {
+  readonly pulseUs: number;
+  readonly silenceUs: number;
+}
+
+const packr = new Packr({ useRecords: false });
+const MAX_FRAME_BYTES = 32 * 1024 * 1024;
+const MAX_HELD_BYTES = 16 * 1024 * 1024;
+const PULSE: Message = { kind: "pulse" };
+
+export const packValue = (value: unknown): Buffer => packr.pack(value);
+export const unpackValue = (bytes: Uint8Array): unknown => {
+  const value: unknown = packr.unpack(bytes);
+  return value;
+};
+
+const asMessage = (value: unknown): Message => {
+  const rec = asRec(value, "message");
+  const { kind } = rec;
+  if (typeof kind !== "string") throw new Error("a message without a kind");
+  return { ...rec, kind };
+};
+
+/**
+ * One connection between own processes: length-prefixed msgpack frames, pulses, and a silence after which it is
+ * given up, since a cut says nothing.
+ */
+export class Wire {
+  /** Invariant: `closed` never goes back to false; after it nothing is sent and nothing more comes in. */
+  private closed = false;
+  private heardUs: number;
+  private sentUs: number;
+  private readonly watch: Pulse;
+
+  constructor(private readonly socket: Socket, private readonly clock: Clock, private readonly times: WireTimes) {
+    this.heardUs = clock.nowUs();
+    this.sentUs = this.heardUs;
+    socket.setNoDelay(true);
+    socket.on("error", () => this.close());
+    socket.on("close", () => this.close());
+    this.watch = clock.every(times.pulseUs, this.beat);
+  }
+
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  readonly send = (message: Message): void => {
+    if (this.closed) return;
+    const body = packr.pack(message);
+    const frame = Buffer.allocUnsafe(body.length + 4);
+    frame.writeUInt32BE(body.length, 0);
+    body.copy(frame, 4);
+    this.sentUs = this.clock.nowUs();
+    this.socket.write(frame);
+    if (this.socket.writableLength > MAX_HELD_BYTES) this.close();
+  };
+
+  readonly close = (): void => {
+    if (this.closed) return;
+    this.closed = true;
+    this.watch.stop();
+    this.socket.destroy();
+  };
+
+  /** All that comes in until the connection is over; pulses are kept back. */
+  async *incoming(): AsyncGenerator<Message, void, undefined> {
+    let held: Buffer = Buffer.alloc(0);
+    try {
+      for await (const chunk of this.socket) {
+        if (!Buffer.isBuffer(chunk)) break;
+        this.heardUs = this.clock.nowUs();
+        held = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
+        let at = 0;
+        while (held.length - at >= 4) {
+          const size = held.readUInt32BE(at);
+          if (size > MAX_FRAME_BYTES) return;
+          if (held.length - at - 4 < size) break;
+          const message = asMessage(unpackValue(held.subarray(at + 4, at + 4 + size)));
+          at += 4 + size;
+          if (message.kind !== "pulse") yield message;
+        }
+        held = held.subarray(at);
+      }
+    } catch {
+      // A broken frame or a reset ends the connection like any other end.
+    } finally {
+      this.close();
+    }
+  }
+
+  private readonly beat = (): void => {
+    const nowUs = this.clock.nowUs();
+    if (nowUs - this.heardUs > this.times.silenceUs) this.close();
+    else if (nowUs - this.sentUs >= this.times.pulseUs * 0.9) this.send(PULSE);
+  };
+}
+
+/** Dials; resolves to undefined when nobody answers in time. */
+export const dial = (ip: string, port: number, clock: Clock, waitUs: number, times: WireTimes): Promise<Wire | undefined> =>
+  new Promise((resolve) => {
+    const socket = connect({ host: ip, port });
+    const pulse = clock.after(waitUs, () => {
+      socket.destroy();
+      resolve(undefined);
+    });
+    socket.once("error", () => {
+      pulse.stop();
+      resolve(undefined);
+    });
+    socket.once("connect", () => {
+      pulse.stop();
+      resolve(new Wire(socket, clock, times));
+    });
+  });
--- /dev/null
+++ b/src/traction/call.ts
@@ -0,0 +1,199 @@
+import type { Readable } from "node:stream";
+import type { Dispatcher } from "undici";
+import { headOf, NOT_RUN, SEAL, TRY_ID, USAGE, type FlatHeads } from "./heads.js";
+import type { Worker } from "./yard.js";
+
+export interface Order {
+  readonly method: string;
+  readonly path: string;
+  readonly heads: string[];
+  readonly body: Buffer | Readable | null;
+  readonly tryId: string;
+}
+
+export interface Answer {
+  readonly status: number;
+  readonly heads: FlatHeads;
+  /** All of the body, or what had come when it grew too large to hold. */
+  readonly start: Buffer;
+  /** Set when the body goes on beyond `start`. */
+  readonly rest: Rest | undefined;
+}
+
+/** The part of a large body that is passed on as it comes; a false `end` means that it broke off. */
+export interface Rest {
+  readonly flow: (onData: (chunk: Buffer) => boolean, onEnd: (isWhole: boolean) => void) => void;
+  readonly resume: () => void;
+}
+
+export type CallVerdict =
+  | { readonly kind: "answered"; readonly answer: Answer }
+  /** The worker says that it did not run the request, or no byte of the request was sent. */
+  | { readonly kind: "not-run"; readonly why: "full" | "other-worker" | "unreachable"; readonly answer: Answer | undefined }
+  /** It may have run: a broken answer, another request's answer, an answer without its seal, a reset. */
+  | { readonly kind: "lost"; readonly why: string }
+  | { readonly kind: "cancelled" };
+
+export interface Calling {
+  readonly verdict: Promise<CallVerdict>;
+  /** Whether bytes of the request may have reached the worker. */
+  readonly hasStarted: () => boolean;
+  readonly cancel: () => void;
+}
+
+/** An answer up to this size is held until it is whole, so that a broken one never reaches the caller. */
+const HELD_BYTES = 256 * 1024;
+
+const usageOf = (value: string | undefined): readonly [number, number, number] | undefined => {
+  const [running, waiting, slots] = (value ?? "").split(",").map(Number);
+  if (running === undefined || waiting === undefined || slots === undefined) return undefined;
+  return [running, waiting, slots].every(Number.isFinite) ? [running, waiting, slots] : undefined;
+};
+
+const EMPTY = Buffer.alloc(0);
+
+/** Why an answer can't be this request's whole own answer, or undefined if it can. */
+const doubt = (status: number, heads: FlatHeads, tryId: string, method: string): string | undefined => {
+  if (headOf(heads, TRY_ID) !== tryId) return "another id";
+  if (headOf(heads, "content-encoding") !== undefined) return "an encoding";
+  const isBounded = headOf(heads, "content-length") !== undefined || headOf(heads, "transfer-encoding") !== undefined;
+  if (!isBounded && status !== 204 && status !== 304 && method !== "HEAD") return "no bound";
+  if (status >= 200 && status < 300 && headOf(heads, SEAL) === undefined) return "no seal";
+  return undefined;
+};
+
+/** One request on one connection of a worker. The connection goes back only after a whole answer beyond doubt. */
+export class WorkerCall implements Dispatcher.DispatchHandler, Calling {
+  readonly verdict: Promise<CallVerdict>;
+  private resolve: (verdict: CallVerdict) => void = () => undefined;
+  private controller: Dispatcher.DispatchController | undefined;
+  private started = false;
+  private over = false;
+  private status = 0;
+  private heads: FlatHeads = [];
+  private readonly chunks: Buffer[] = [];
+  private heldBytes = 0;
+  private doubtful: string | undefined;
+  private restSinks: { readonly onData: (chunk: Buffer) => boolean; readonly onEnd: (isWhole: boolean) => void } | undefined;
+  private streaming = false;
+  private readonly coupling;
+  private readonly mark;
+
+  constructor(
+    private readonly worker: Worker,
+    private readonly order: Order,
+    private readonly nowUs: () => number,
+  ) {
+    this.verdict = new Promise((resolve) => {
+      this.resolve = resolve;
+    });
+    this.mark = worker.begin();
+    this.coupling = worker.couple();
+    const { method, path, heads, body } = order;
+    try {
+      this.coupling.client.dispatch({ method: methodOf(method), path, headers: heads, body, idempotent: false, headersTimeout: 0, bodyTimeout: 0 }, this);
+    } catch {
+      this.finish(false, false, { kind: "not-run", why: "unreachable", answer: undefined });
+    }
+  }
+
+  readonly hasStarted = (): boolean => this.started;
+
+  readonly cancel = (): void => {
+    if (!this.over) this.finish(false, false, { kind: "cancelled" });
+  };
+
+  readonly onRequestStart = (controller: Dispatcher.DispatchController): void => {
+    if (this.over) return controller.abort(new Error("cancelled"));
+    this.controller = controller;
+    this.started = true;
+  };
+
+  readonly onResponseStart = (controller: Dispatcher.DispatchController, statusCode: number): void => {
+    if (statusCode < 200) return;
+    const raw = controller.rawHeaders;
+    this.heads = Array.isArray(raw) ? raw.map((entry) => (typeof entry === "string" ? entry : entry.toString("latin1"))) : [];
+    this.status = statusCode;
+    const usage = usageOf(headOf(this.heads, USAGE));
+    if (usage) this.worker.tell(...usage);
+    if (statusCode === 421 || headOf(this.heads, NOT_RUN) !== undefined) return;
+    this.doubtful = doubt(statusCode, this.heads, this.order.tryId, this.order.method);
+    if (this.doubtful !== undefined) this.finish(true, false, { kind: "lost", why: this.doubtful });
+  };
+
+  readonly onResponseData = (controller: Dispatcher.DispatchController, chunk: Buffer): void => {
+    if (this.over && !this.streaming) return;
+    if (this.restSinks) {
+      if (!this.restSinks.onData(chunk)) controller.pause();
+      return;
+    }
+    this.chunks.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes > HELD_BYTES) this.startStreaming(controller);
+  };
+
+  readonly onResponseEnd = (): void => {
+    if (this.streaming) {
+      this.streaming = false;
+      this.release(true, true);
+      this.restSinks?.onEnd(true);
+      return;
+    }
+    if (this.over) return;
+    const answer: Answer = { status: this.status, heads: this.heads, start: this.body(), rest: undefined };
+    const isSound = headOf(this.heads, "connection")?.toLowerCase() !== "close";
+    if (this.status === 421) this.finish(true, false, { kind: "not-run", why: "other-worker", answer });
+    else if (headOf(this.heads, NOT_RUN) !== undefined) this.finish(true, isSound, { kind: "not-run", why: "full", answer });
+    else {
+      this.worker.learn(this.nowUs() - this.mark.sinceUs);
+      this.finish(true, isSound, { kind: "answered", answer });
+    }
+  };
+
+  readonly onResponseError = (_controller: Dispatcher.DispatchController, mishap: Error): void => {
+    if (this.streaming) {
+      this.streaming = false;
+      this.release(false, false);
+      this.restSinks?.onEnd(false);
+      return;
+    }
+    if (this.over) return;
+    if (this.started) this.finish(false, false, { kind: "lost", why: mishap.message });
+    else this.finish(false, false, { kind: "not-run", why: "unreachable", answer: undefined });
+  };
+
+  private readonly body = (): Buffer => (this.chunks.length === 1 ? (this.chunks[0] ?? EMPTY) : Buffer.concat(this.chunks));
+
+  private readonly startStreaming = (controller: Dispatcher.DispatchController): void => {
+    this.streaming = true;
+    this.over = true;
+    controller.pause();
+    const rest: Rest = {
+      flow: (onData, onEnd) => {
+        this.restSinks = { onData, onEnd };
+        controller.resume();
+      },
+      resume: () => controller.resume(),
+    };
+    this.resolve({ kind: "answered", answer: { status: this.status, heads: this.heads, start: this.body(), rest } });
+  };
+
+  private readonly finish = (heard: boolean, isSound: boolean, verdict: CallVerdict): void => {
+    this.over = true;
+    this.release(heard, isSound);
+    this.resolve(verdict);
+  };
+
+  private readonly release = (heard: boolean, isSound: boolean): void => {
+    this.worker.finish(this.mark, heard);
+    this.worker.uncouple(this.coupling, isSound);
+    if (!isSound) this.controller?.abort(new Error("done with"));
+  };
+}
+
+const METHODS: readonly Dispatcher.HttpMethod[] = ["GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "TRACE", "PATCH"];
+const methodOf = (method: string): Dispatcher.HttpMethod => {
+  const known = METHODS.find((candidate) => candidate === method);
+  if (known === undefined) throw new Error("an unknown method");
+  return known;
+};
--- /dev/null
+++ b/src/traction/front.ts
@@ -0,0 +1,364 @@
+import express from "express";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { within, type Clock } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { OUTCOMES, type OutcomeName } from "../trackbed/outcomes.js";
+import { splitAddress } from "../trackbed/settings.js";
+import { MS, SECOND } from "../trackbed/span.js";
+import { WorkerCall, type Answer, type CallVerdict, type Calling } from "./call.js";
+import { Chooser } from "./choose.js";
+import { Gate } from "./gate.js";
+import { EXPECT_WORKER, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
+import type { Route, RouteTable } from "./routes.js";
+import { Stage } from "./stage.js";
+import type { Line, Trip } from "./trip.js";
+import type { Worker, Yard } from "./yard.js";
+import type { Allowance } from "./allowance.js";
+
+export interface FrontOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly cell: string;
+  readonly table: RouteTable;
+  readonly yard: Yard;
+  readonly allowanceOf: (service: string) => Allowance;
+  readonly connectionShare: (service: string) => number;
+  readonly countFault: (worker: string, isFault: boolean) => void;
+  readonly tally: (route: string, kind: string, outcome: string) => void;
+  readonly random: () => number;
+}
+
+/** Bodies up to this size are held, so that they can be sent on again; larger ones are passed on as they come. */
+const HELD_BODY_BYTES = 128 * 1024;
+const MOST_READING = 512;
+const MOST_CARRIED = 1_024;
+const GATE_PART = 8;
+const SILENCE_CHECK_US = 120 * MS;
+const NOT_PASSED_ON: ReadonlySet<string> = new Set([TIME_LEFT, EXPECT_WORKER, "content-length", "expect"]);
+const NONE: ReadonlySet<string> = new Set();
+
+/** The front of a pointsman: the stages that a caller's request passes. */
+export class Front {
+  private readonly server: Server;
+  private readonly lines = new WeakMap<Socket, Line>();
+  private readonly gate: Gate;
+  private readonly chooser: Chooser;
+  private readonly reading: Stage<Trip>;
+  private readonly carrying: Stage<Trip>;
+  /** Requests read and not yet answered. */
+  private open = 0;
+  private leaving = false;
+
+  constructor(private readonly options: FrontOptions) {
+    const { yard, cell, random, connectionShare, clock } = options;
+    this.chooser = new Chooser({ yard, cell, random, connectionShare });
+    this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried));
+    this.reading = new Stage(MOST_READING, MOST_READING, this.read);
+    this.carrying = new Stage(MOST_CARRIED, MOST_CARRIED, this.carry, (trip) => trip.route?.rank ?? 0);
+    const app = express();
+    app.disable("x-powered-by");
+    app.disable("etag");
+    app.set("query parser", false);
+    app.use(this.arrive);
+    this.server = createServer({ connectionsCheckingInterval: 1_000, requestTimeout: 0, keepAlive: true, noDelay: true }, app);
+    this.server.on("clientError", this.malformed);
+  }
+
+  get openRequests(): number {
+    return this.open;
+  }
+
+  readonly listen = (address: string): Promise<void> => {
+    const { ip, port } = splitAddress(address);
+    this.takeLimits();
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen({ host: ip, port, backlog: 1_024 }, resolve);
+    });
+  };
+
+  /** The plan's limits hold for connections and requests that begin from now on. */
+  readonly takeLimits = (): void => {
+    const { maxHeaderBytes, headerWaitUs, idleUs } = this.options.table.limits;
+    this.server.headersTimeout = headerWaitUs / MS;
+    this.server.keepAliveTimeout = idleUs / MS;
+    Object.assign(this.server, { maxHeaderSize: maxHeaderBytes });
+  };
+
+  readonly wake = (): void => this.gate.wake();
+
+  /** From now on answers close their connections; what is read is still carried to its end. */
+  readonly beginLeaving = (): void => {
+    this.leaving = true;
+  };
+
+  readonly stopListening = (): void => {
+    this.server.close();
+    this.server.closeIdleConnections();
+  };
+
+  readonly closeIdle = (): void => this.server.closeIdleConnections();
+
+  private readonly arrive = (req: IncomingMessage, res: ServerResponse): void => {
+    const { clock } = this.options;
+    const line = this.lines.get(req.socket) ?? { open: 0, last: Promise.resolve(), closing: false };
+    this.lines.set(req.socket, line);
+    if (line.closing) return;
+    const arrivedUs = clock.nowUs();
+    const left = Number(req.headers[TIME_LEFT]);
+    const prior = line.last;
+    const trip: Trip = {
+      req,
+      res,
+      line,
+      prior,
+      arrivedUs,
+      tryId: String(req.headers[TRY_ID] ?? ""),
+      budgetUs: arrivedUs + (Number.isFinite(left) && left > 0 ? left * MS : 60 * SECOND),
+      route: undefined,
+      service: "",
+      body: null,
+      tried: new Set(),
+      calls: new Set(),
+      sends: 0,
+      mayHaveRun: false,
+      over: false,
+      onOver: [],
+    };
+    line.open += 1;
+    this.open += 1;
+    line.last = new Promise((resolve) => {
+      res.once("close", () => {
+        line.open -= 1;
+        this.open -= 1;
+        this.end(trip);
+        resolve();
+      });
+    });
+    if (!this.reading.offer(trip)) this.refuse(trip, "full");
+  };
+
+  /** Read: the body, if it is small enough to hold. */
+  private readonly read = async (trip: Trip): Promise<void> => {
+    const { table, clock } = this.options;
+    const { req } = trip;
+    const length = Number(req.headers["content-length"] ?? 0);
+    const hasBody = length > 0 || req.headers["transfer-encoding"] !== undefined;
+    if (length > table.limits.maxBodyBytes) return this.refuse(trip, "bodyTooLarge");
+    if (!hasBody) return this.direct(trip);
+    if (length > HELD_BODY_BYTES) {
+      trip.body = req;
+      return this.direct(trip);
+    }
+    const held = await within(clock, trip.budgetUs - clock.nowUs(), this.hold(trip), "slowBody" as const);
+    if (trip.over) return;
+    if (held === "slowBody" || held === "bodyTooLarge") return this.refuse(trip, held);
+    if (held === "broken") return this.end(trip);
+    trip.body = held;
+    this.direct(trip);
+  };
+
+  private readonly hold = async (trip: Trip): Promise<Buffer | "broken" | "bodyTooLarge"> => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+      for await (const chunk of trip.req) {
+        if (!Buffer.isBuffer(chunk)) continue;
+        size += chunk.length;
+        if (size > this.options.table.limits.maxBodyBytes) return "bodyTooLarge";
+        chunks.push(chunk);
+      }
+    } catch {
+      return "broken";
+    }
+    return trip.req.complete ? Buffer.concat(chunks) : "broken";
+  };
+
+  /** Route: the longest prefix of the host, and by its shares a service. */
+  private readonly direct = (trip: Trip): void => {
+    const { table, random, allowanceOf } = this.options;
+    if (trip.over) return;
+    if (!table.isHeld) return this.refuse(trip, "noPlan");
+    const host = (trip.req.headers.host ?? "").toLowerCase().replace(/:\d+$/, "");
+    const path = (trip.req.url ?? "/").split("?")[0] ?? "/";
+    const route = table.find(host, path);
+    if (!route) return this.refuse(trip, "unknownRoute");
+    trip.route = route;
+    trip.service = drawService(route, random());
+    trip.budgetUs = Math.min(trip.budgetUs, trip.arrivedUs + route.giveUpUs);
+    allowanceOf(trip.service).count();
+    if (!this.carrying.offer(trip)) this.refuse(trip, "full");
+  };
+
+  /** Gate, choose and call, again where that is allowed, and at the end the one answer. */
+  private readonly carry = async (trip: Trip): Promise<void> => {
+    const { clock, allowanceOf } = this.options;
+    const { route } = trip;
+    if (!route) return;
+    if (!route.isSafe) await trip.prior;
+    const budget = clock.after(trip.budgetUs - clock.nowUs(), () => this.runOut(trip));
+    trip.onOver.push(budget.stop);
+    let lastAnswer: Answer | undefined;
+    while (!trip.over && !trip.line.closing) {
+      if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && allowanceOf(trip.service).spend())) break;
+      const worker = await this.gate.pass(trip, this.gateWaitUs(trip, route));
+      if (trip.over || !worker) break;
+      const verdict = await this.call(trip, route, worker);
+      if (trip.over || verdict.kind === "cancelled") return;
+      if (verdict.kind === "answered") {
+        const isOwnMishap = verdict.answer.status >= 500;
+        if (!isOwnMishap || !route.isSafe || trip.sends >= route.tries) return this.answer(trip, verdict.answer);
+        lastAnswer = verdict.answer;
+      } else if (verdict.kind === "lost" && !route.isSafe) break;
+    }
+    if (trip.over) return;
+    if (lastAnswer) this.answer(trip, lastAnswer);
+    else this.refuse(trip, trip.mayHaveRun ? "lostAnswer" : "full");
+  };
+
+  /** Calls one worker; a safe request whose worker has fallen silent is sent to a second one beside it. */
+  private readonly call = async (trip: Trip, route: Route, worker: Worker): Promise<CallVerdict> => {
+    const { clock, allowanceOf } = this.options;
+    const first = this.start(trip, worker);
+    if (!route.isSafe) return first.verdict;
+    for (;;) {
+      const early = await within(clock, SILENCE_CHECK_US, first.verdict, undefined);
+      if (early) return early;
+      if (trip.over) return { kind: "cancelled" };
+      if (!worker.isSilent() || trip.sends >= route.tries || !isHeldBody(trip)) continue;
+      const other = this.chooser.choose(trip.service, trip.tried);
+      if (!other || !allowanceOf(trip.service).spend()) continue;
+      const second = this.start(trip, other);
+      const [quick, slow] = await Promise.race([first.verdict.then(() => [first, second] as const), second.verdict.then(() => [second, first] as const)]);
+      const verdict = await quick.verdict;
+      if (verdict.kind !== "answered") return slow.verdict;
+      slow.cancel();
+      return verdict;
+    }
+  };
+
+  private readonly start = (trip: Trip, worker: Worker): Calling => {
+    const { clock, countFault } = this.options;
+    const heads = passOn(trip.req.rawHeaders, NOT_PASSED_ON);
+    const leftMs = Math.max(1, Math.floor((trip.budgetUs - clock.nowUs()) / MS));
+    heads.push("Yewreel-Time-Left-Ms", String(leftMs), "Yewreel-Expect-Worker", worker.id);
+    const length = trip.req.headers["content-length"];
+    if (!isHeldBody(trip) && length !== undefined) heads.push("Content-Length", length);
+    const call = new WorkerCall(worker, { method: trip.req.method ?? "GET", path: trip.req.url ?? "/", heads, body: trip.body, tryId: trip.tryId }, clock.nowUs);
+    trip.tried.add(worker.id);
+    trip.sends += 1;
+    trip.calls.add(call);
+    void call.verdict.then((verdict) => {
+      trip.calls.delete(call);
+      if (verdict.kind === "lost") {
+        trip.mayHaveRun = true;
+        worker.shun();
+      }
+      if (verdict.kind === "not-run" && verdict.why === "unreachable") worker.shun();
+      if (verdict.kind === "not-run" && verdict.why === "other-worker") this.options.yard.misdirected(worker);
+      if (verdict.kind !== "cancelled") countFault(worker.id, verdict.kind === "lost" || (verdict.kind === "not-run" && verdict.why === "unreachable"));
+      this.gate.wake();
+    });
+    return call;
+  };
+
+  private readonly gateWaitUs = (trip: Trip, route: Route): number => {
+    const { clock } = this.options;
+    const nowUs = clock.nowUs();
+    return Math.min(trip.arrivedUs + route.aimUs / GATE_PART, trip.budgetUs) - nowUs;
+  };
+
+  /** The budget is over: whatever a worker still does for it is of no use to anyone. */
+  private readonly runOut = (trip: Trip): void => {
+    if ([...trip.calls].some((call) => call.hasStarted())) trip.mayHaveRun = true;
+    this.refuse(trip, trip.mayHaveRun || trip.sends > 0 ? "tooLate" : "full");
+  };
+
+  /** Answer: the worker's own, unchanged. */
+  private readonly answer = (trip: Trip, answer: Answer): void => {
+    const { res } = trip;
+    if (trip.over || res.headersSent) return;
+    const heads = passOn(answer.heads, answer.rest ? NONE : CONTENT_LENGTH);
+    if (!answer.rest && trip.req.method !== "HEAD") heads.push("Content-Length", String(answer.start.length));
+    this.count(trip, answer.status < 400 ? "served" : String(answer.status));
+    this.markClosing(trip, false);
+    res.writeHead(answer.status, heads);
+    trip.over = true;
+    if (!answer.rest) {
+      res.end(answer.start);
+      return;
+    }
+    const { rest } = answer;
+    res.write(answer.start);
+    res.on("drain", rest.resume);
+    rest.flow(
+      (chunk) => res.write(chunk),
+      (isWhole) => {
+        if (isWhole) res.end();
+        else res.destroy();
+      },
+    );
+  };
+
+  /** Answer: the gateway's own, by the table of outcomes. */
+  private readonly refuse = (trip: Trip, name: OutcomeName): void => {
+    const { res, route } = { res: trip.res, route: trip.route };
+    if (trip.over || res.headersSent) return;
+    const outcome = OUTCOMES[name];
+    this.count(trip, name);
+    this.markClosing(trip, outcome.closes);
+    const body = JSON.stringify({ problem: outcome.problem });
+    if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route));
+    res.writeHead(outcome.status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
+    res.end(body);
+    this.end(trip);
+  };
+
+  private readonly markClosing = (trip: Trip, closes: boolean): void => {
+    if (!closes && !(this.leaving && trip.line.open === 1)) return;
+    trip.line.closing = true;
+    trip.res.setHeader("Connection", "close");
+  };
+
+  private readonly count = (trip: Trip, outcome: string): void => {
+    const kind = trip.route === undefined ? "none" : trip.route.isSafe ? "safe" : "unsafe";
+    this.options.tally(trip.route?.name ?? "none", kind, outcome);
+  };
+
+  /** Whatever still runs for the trip is called off: it has been answered, or its caller is gone. */
+  private readonly end = (trip: Trip): void => {
+    trip.over = true;
+    trip.calls.forEach((call) => call.cancel());
+    trip.onOver.splice(0).forEach((act) => act());
+  };
+
+  private readonly malformed = (mishap: NodeJS.ErrnoException, socket: Socket): void => {
+    const line = this.lines.get(socket);
+    if (!socket.writable || (line !== undefined && line.open > 0)) {
+      socket.destroy();
+      return;
+    }
+    if (line) line.closing = true;
+    const name: OutcomeName = mishap.code === "HPE_HEADER_OVERFLOW" ? "headTooLarge" : mishap.code === "ERR_HTTP_REQUEST_TIMEOUT" ? "slowHead" : "malformed";
+    const outcome = OUTCOMES[name];
+    if (mishap.code === "ECONNRESET") socket.destroy();
+    else socket.end(`HTTP/1.1 ${outcome.status} ${outcome.problem}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  };
+}
+
+const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
+
+const isHeldBody = (trip: Trip): boolean => trip.body === null || Buffer.isBuffer(trip.body);
+
+const comeBackS = (route: Route | undefined): string => ((route ? Math.max(50 * MS, route.aimUs / 4) : 250 * MS) / SECOND).toFixed(3);
+
+const drawService = (route: Route, random: number): string => {
+  const total = route.shares.reduce((sum, { share }) => sum + share, 0);
+  let mark = random * total;
+  for (const { service, share } of route.shares) {
+    mark -= share;
+    if (mark < 0) return service;
+  }
+  return route.shares[route.shares.length - 1]?.service ?? "";
+};
--- /dev/null
+++ b/src/traction/heads.ts
@@ -0,0 +1,43 @@
+/** Heads of requests and answers, as flat lists of names and values, in the order and case they came in. */
+export type FlatHeads = readonly string[];
+
+export const TRY_ID = "yewreel-try-id";
+export const TIME_LEFT = "yewreel-time-left-ms";
+export const EXPECT_WORKER = "yewreel-expect-worker";
+export const SEAL = "yewreel-server-seal";
+export const USAGE = "yewreel-worker-load";
+export const NOT_RUN = "yewreel-not-run";
+
+const OF_ONE_CONNECTION = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+const pairs = (heads: FlatHeads): readonly (readonly [string, string])[] => {
+  const found: [string, string][] = [];
+  for (let at = 0; at + 1 < heads.length; at += 2) found.push([heads[at] ?? "", heads[at + 1] ?? ""]);
+  return found;
+};
+
+/** All heads but those of one connection, those that Connection names, and the given ones. */
+export const passOn = (heads: FlatHeads, without: ReadonlySet<string>): string[] => {
+  const all = pairs(heads);
+  const named = new Set(
+    all.filter(([name]) => name.toLowerCase() === "connection").flatMap(([, value]) => value.split(",").map((token) => token.trim().toLowerCase())),
+  );
+  return all
+    .filter(([name]) => {
+      const lower = name.toLowerCase();
+      return !OF_ONE_CONNECTION.has(lower) && !named.has(lower) && !without.has(lower);
+    })
+    .flatMap(([name, value]) => [name, value]);
+};
+
+export const headOf = (heads: FlatHeads, name: string): string | undefined => pairs(heads).find(([other]) => other.toLowerCase() === name)?.[1];
--- /dev/null
+++ b/src/traction/routes.ts
@@ -0,0 +1,128 @@
+import { PLAN_PREFIX, type Fact } from "../signalling/board.js";
+import { asList, asRec, parseJson, text, whole } from "../trackbed/shape.js";
+import { parseSpan, SECOND } from "../trackbed/span.js";
+
+export interface Share {
+  readonly service: string;
+  readonly share: number;
+}
+
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  readonly pathStart: string;
+  readonly isSafe: boolean;
+  readonly aimUs: number;
+  readonly rank: number;
+  readonly version: number;
+  /** Invariant: not empty, and the shares add up to more than 0. */
+  readonly shares: readonly Share[];
+  readonly giveUpUs: number;
+  readonly tries: number;
+}
+
+export interface Service {
+  readonly name: string;
+  readonly statusPath: string;
+  readonly maxConnections: number;
+}
+
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerWaitUs: number;
+  readonly idleUs: number;
+}
+
+const FIRST_LIMITS: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 64 * 1024 * 1024, headerWaitUs: 5 * SECOND, idleUs: 15 * SECOND };
+
+const readRoute = (body: string): Route => {
+  const rec = asRec(parseJson(body));
+  const rule = asRec(rec["rule"], "rule");
+  const then = asRec(rule["then"], "then");
+  const shares =
+    then["shares"] === undefined
+      ? [{ service: text(then, "service"), share: 1 }]
+      : asList(then["shares"], "shares").map((value) => ({ service: text(asRec(value), "service"), share: whole(asRec(value), "share") }));
+  return {
+    name: text(rule, "name"),
+    host: text(rec, "host").toLowerCase(),
+    pathStart: text(asRec(rule["matchOn"], "matchOn"), "pathStart"),
+    isSafe: rule["routeKind"] === "safe",
+    aimUs: parseSpan(rule["target_time"]).unwrapOr(SECOND),
+    rank: typeof rule["rank"] === "number" ? rule["rank"] : 0,
+    version: whole(rule, "version"),
+    shares,
+    giveUpUs: parseSpan(then["giveUp"]).unwrapOr(SECOND),
+    tries: typeof then["tries"] === "number" ? Math.max(1, then["tries"]) : 1,
+  };
+};
+
+/** The plan as the data plane uses it. Invariant: the routes of a host are sorted by the length of their prefix, longest first. */
+export class RouteTable {
+  private readonly routes = new Map<string, Route>();
+  private readonly byHost = new Map<string, readonly Route[]>();
+  private readonly services = new Map<string, Service>();
+  private held = false;
+  limits: CallerLimits = FIRST_LIMITS;
+
+  /** Whether any plan has come yet; without one nothing may be called unknown. */
+  get isHeld(): boolean {
+    return this.held;
+  }
+
+  readonly service = (name: string): Service | undefined => this.services.get(name);
+
+  readonly take = (facts: readonly Fact[]): void => {
+    const hosts = new Set<string>();
+    facts.filter((fact) => fact.key.startsWith(PLAN_PREFIX)).forEach((fact) => {
+      this.held = true;
+      this.takeItem(fact, hosts);
+    });
+    hosts.forEach(this.sortHost);
+  };
+
+  readonly find = (host: string, path: string): Route | undefined => this.byHost.get(host)?.find((route) => path.startsWith(route.pathStart));
+
+  private readonly takeItem = (fact: Fact, hosts: Set<string>): void => {
+    const key = fact.key.slice(PLAN_PREFIX.length);
+    const dropped = fact.body["dropped"] === true;
+    const item = text(fact.body, "item");
+    if (key.startsWith("route/")) {
+      const before = this.routes.get(key);
+      if (before) hosts.add(before.host);
+      if (dropped) this.routes.delete(key);
+      else {
+        const route = readRoute(item);
+        this.routes.set(key, route);
+        hosts.add(route.host);
+      }
+    } else if (key.startsWith("service/")) {
+      if (dropped) this.services.delete(key.slice("service/".length));
+      else this.takeService(item);
+    } else if (!dropped) this.takeLimits(item);
+  };
+
+  private readonly takeService = (item: string): void => {
+    const rec = asRec(parseJson(item));
+    const name = text(rec, "name");
+    const maxConnections = typeof rec["maxConnections"] === "number" && rec["maxConnections"] > 0 ? rec["maxConnections"] : 1_000;
+    this.services.set(name, { name, statusPath: text(rec, "statusPath"), maxConnections });
+  };
+
+  private readonly takeLimits = (item: string): void => {
+    const rec = asRec(parseJson(item));
+    this.limits = {
+      maxHeaderBytes: Number(rec["maxHeaderBytes"]) || FIRST_LIMITS.maxHeaderBytes,
+      maxBodyBytes: Number(rec["maxBodyBytes"]) || FIRST_LIMITS.maxBodyBytes,
+      headerWaitUs: parseSpan(rec["headerWait"]).unwrapOr(FIRST_LIMITS.headerWaitUs),
+      idleUs: parseSpan(rec["idle"]).unwrapOr(FIRST_LIMITS.idleUs),
+    };
+  };
+
+  private readonly sortHost = (host: string): void => {
+    const routes = [...this.routes.values()].filter((route) => route.host === host);
+    routes.sort((a, b) => b.pathStart.length - a.pathStart.length || b.version - a.version);
+    this.byHost.set(host, routes);
+  };
+}
--- /dev/null
+++ b/src/traction/trip.ts
@@ -0,0 +1,38 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Readable } from "node:stream";
+import type { Calling } from "./call.js";
+import type { Route } from "./routes.js";
+
+/** The requests of one caller's connection, in the order they came. */
+export interface Line {
+  /** Requests read and not yet answered in full. */
+  open: number;
+  /** Resolves once all that came before has been answered. */
+  last: Promise<void>;
+  /** Set once an answer closes the connection: what came behind counts as not read and must not run any more. */
+  closing: boolean;
+}
+
+/** One request on its way through the stages. */
+export interface Trip {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly line: Line;
+  readonly prior: Promise<void>;
+  readonly arrivedUs: number;
+  readonly tryId: string;
+  /** When the caller and the operator both have given it up, on this process's clock. */
+  budgetUs: number;
+  route: Route | undefined;
+  service: string;
+  body: Buffer | Readable | null;
+  /** Invariant: the workers it was sent to or that proved unreachable; none is asked twice. */
+  readonly tried: Set<string>;
+  readonly calls: Set<Calling>;
+  sends: number;
+  /** Set once some worker may have run it; from then on no promise may be given. */
+  mayHaveRun: boolean;
+  /** Set once it is answered or its caller is gone. */
+  over: boolean;
+  readonly onOver: (() => void)[];
+}
--- /dev/null
+++ b/src/traction/yard.ts
@@ -0,0 +1,211 @@
+import { Client } from "undici";
+import { EJECTIONS_KEY, WORKER_PREFIX, type Fact } from "../signalling/board.js";
+import type { Clock } from "../trackbed/clock.js";
+import { asRec, list, text, whole } from "../trackbed/shape.js";
+import { MS, SECOND } from "../trackbed/span.js";
+
+/** One connection to a worker, for one request at a time. */
+export interface Coupling {
+  readonly client: Client;
+  idleSinceUs: number;
+}
+
+const CONNECT_WAIT_US = 300 * MS;
+const IDLE_UNTOLD_MS = 4_000;
+const SHUN_US = 1 * SECOND;
+const FIRST_GUESS_US = 50 * MS;
+const SMOOTHING = 0.1;
+const TOLD_FADES_US = 600 * MS;
+
+/** A worker as this node knows it: what the news says, and what its own calls have shown. */
+export class Worker {
+  service = "";
+  address = "";
+  cell = "";
+  capacity = 1;
+  state = "ready";
+  warmUntilUs = 0;
+  /** Invariant: `own` counts the calls of this node now under way; each holds one coupling that is not in `idle`. */
+  own = 0;
+  private idle: Coupling[] = [];
+  private open = 0;
+  private toldOthers = 0;
+  private toldUs = 0;
+  private typicalUs = 0;
+  private shunnedUntilUs = 0;
+  private readonly waitingSince = new Set<{ readonly sinceUs: number }>();
+  private heardUs = 0;
+
+  constructor(readonly id: string, private readonly clock: Clock) {}
+
+  readonly takeFact = (fact: Fact): void => {
+    const address = text(fact.body, "address");
+    if (address !== this.address) this.closeIdle();
+    this.service = text(fact.body, "service");
+    this.address = address;
+    this.cell = text(fact.body, "cell");
+    this.capacity = Math.max(1, whole(fact.body, "capacity"));
+    this.state = text(fact.body, "state");
+    this.warmUntilUs = fact.sinceUs + whole(fact.body, "warmUs");
+    if (this.state !== "ready") this.closeIdle();
+  };
+
+  /** The usage of the worker: what it last told of others, fading, and this node's own. */
+  readonly usage = (): number => {
+    const ageUs = this.clock.nowUs() - this.toldUs;
+    return this.own + (ageUs >= TOLD_FADES_US ? 0 : this.toldOthers * (1 - ageUs / TOLD_FADES_US));
+  };
+
+  readonly tell = (running: number, waiting: number, slots: number): void => {
+    if (slots > 0) this.capacity = slots;
+    this.toldOthers = Math.max(0, running + waiting - Math.max(0, this.own - 1));
+    this.toldUs = this.clock.nowUs();
+  };
+
+  readonly learn = (tookUs: number): void => {
+    this.typicalUs = this.typicalUs === 0 ? tookUs : this.typicalUs + (tookUs - this.typicalUs) * SMOOTHING;
+  };
+
+  /** How long a call sent now would take, by guess. */
+  readonly guessUs = (): number => {
+    const typicalUs = this.typicalUs || FIRST_GUESS_US;
+    const coldness = this.clock.nowUs() < this.warmUntilUs ? 2 : 1;
+    return typicalUs * coldness * Math.max(1, (this.usage() + 1) / this.capacity);
+  };
+
+  /** After a mishap that shows the worker itself to be unwell, this node leaves it alone for a moment. */
+  readonly shun = (): void => {
+    this.shunnedUntilUs = this.clock.nowUs() + SHUN_US;
+    this.closeIdle();
+  };
+
+  readonly isShunned = (): boolean => this.clock.nowUs() < this.shunnedUntilUs || this.isSilent();
+
+  /** Calls have waited far beyond what is usual, and nothing at all has been heard since. */
+  readonly isSilent = (): boolean => {
+    const nowUs = this.clock.nowUs();
+    const patienceUs = Math.max(500 * MS, 6 * this.typicalUs);
+    for (const call of this.waitingSince) return this.heardUs < call.sinceUs && nowUs - call.sinceUs > patienceUs;
+    return false;
+  };
+
+  readonly begin = (): { readonly sinceUs: number } => {
+    const call = { sinceUs: this.clock.nowUs() };
+    this.waitingSince.add(call);
+    this.own += 1;
+    return call;
+  };
+
+  readonly finish = (call: { readonly sinceUs: number }, heard: boolean): void => {
+    if (!this.waitingSince.delete(call)) return;
+    this.own -= 1;
+    if (heard) this.heardUs = this.clock.nowUs();
+  };
+
+  readonly couple = (): Coupling => {
+    const waiting = this.idle.pop();
+    if (waiting) return waiting;
+    this.open += 1;
+    const client = new Client(`http://${this.address}`, {
+      pipelining: 1,
+      connect: { timeout: CONNECT_WAIT_US / MS },
+      connectTimeout: CONNECT_WAIT_US / MS,
+      keepAliveTimeout: IDLE_UNTOLD_MS,
+      keepAliveTimeoutThreshold: 1_000,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxHeaderSize: 64 * 1024,
+    });
+    return { client, idleSinceUs: 0 };
+  };
+
+  readonly uncouple = (coupling: Coupling, isSound: boolean): void => {
+    if (isSound && this.state === "ready") {
+      coupling.idleSinceUs = this.clock.nowUs();
+      this.idle.push(coupling);
+    } else this.scrap(coupling);
+  };
+
+  readonly hasRoom = (share: number): boolean => this.idle.length > 0 || this.open < share;
+
+  readonly closeIdle = (): void => {
+    const idle = this.idle;
+    this.idle = [];
+    idle.forEach(this.scrap);
+  };
+
+  /** Couplings long unused are given back, so that what the worker's limit allows goes to those who need it. */
+  readonly trim = (): void => {
+    const oldestUs = this.clock.nowUs() - 15 * SECOND;
+    const kept = this.idle.filter((coupling) => coupling.idleSinceUs >= oldestUs);
+    this.idle.filter((coupling) => coupling.idleSinceUs < oldestUs).forEach(this.scrap);
+    this.idle = kept;
+  };
+
+  private readonly scrap = (coupling: Coupling): void => {
+    this.open -= 1;
+    coupling.client.destroy().catch(() => undefined);
+  };
+}
+
+/** All workers, by id and by service, with what the inspection decided. */
+export class Yard {
+  private readonly workers = new Map<string, Worker>();
+  private readonly byService = new Map<string, Worker[]>();
+  private ejected: ReadonlySet<string> = new Set();
+  shiftedCell = "";
+
+  constructor(private readonly clock: Clock) {}
+
+  get size(): number {
+    return this.workers.size;
+  }
+
+  readonly of = (service: string): readonly Worker[] => this.byService.get(service) ?? [];
+
+  readonly all = (): readonly Worker[] => [...this.workers.values()];
+
+  readonly isEjected = (worker: Worker): boolean => this.ejected.has(worker.id);
+
+  readonly take = (facts: readonly Fact[]): void => {
+    facts.forEach((fact) => {
+      if (fact.key === EJECTIONS_KEY) this.takeDecisions(fact);
+      else if (fact.key.startsWith(WORKER_PREFIX)) this.takeWorker(fact);
+    });
+  };
+
+  readonly forget = (keys: readonly string[]): void => {
+    keys.filter((key) => key.startsWith(WORKER_PREFIX)).forEach((key) => this.remove(key.slice(WORKER_PREFIX.length)));
+  };
+
+  /** Another worker has the address: this one is no more, whatever the news says so far. */
+  readonly misdirected = (worker: Worker): void => this.remove(worker.id);
+
+  readonly trim = (): void => this.workers.forEach((worker) => worker.trim());
+
+  private readonly takeWorker = (fact: Fact): void => {
+    const id = fact.key.slice(WORKER_PREFIX.length);
+    if (fact.body["state"] === "gone") return this.remove(id);
+    const known = this.workers.get(id);
+    const worker = known ?? new Worker(id, this.clock);
+    worker.takeFact(fact);
+    if (known) return;
+    this.workers.set(id, worker);
+    this.byService.set(worker.service, [...this.of(worker.service), worker]);
+  };
+
+  private readonly takeDecisions = (fact: Fact): void => {
+    this.ejected = new Set(list(fact.body, "ejections", (value) => text(asRec(value), "worker")));
+    const shift = fact.body["shift"];
+    this.shiftedCell = shift === undefined || shift === null ? "" : text(asRec(shift), "cell");
+  };
+
+  private readonly remove = (id: string): void => {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    worker.state = "gone";
+    worker.closeIdle();
+    this.workers.delete(id);
+    this.byService.set(worker.service, this.of(worker.service).filter((other) => other !== worker));
+  };
+}
--- /dev/null
+++ b/src/yewreel.ts
@@ -0,0 +1,65 @@
+#!/usr/bin/env node
+import { stat } from "node:fs/promises";
+import { Command } from "commander";
+import { runPointsman } from "./programs/pointsman.js";
+import { runSignalbox, type Running } from "./programs/signalbox.js";
+import { SteadyClock, type Clock } from "./trackbed/clock.js";
+import { logFor, setLogLevel } from "./trackbed/log.js";
+import { readSettings, type Settings } from "./trackbed/settings.js";
+import { SECOND } from "./trackbed/span.js";
+
+const SETTINGS_VARIABLE = "YEWREEL_CONFIG";
+const LOOK_US = 2 * SECOND;
+const WRONG_SETTINGS = 2;
+
+const stamp = async (path: string): Promise<number> => {
+  try {
+    return (await stat(path)).mtimeMs;
+  } catch {
+    return 0;
+  }
+};
+
+/** The settings file may change with a signal or without one; what is wrong in it then changes nothing. */
+const watchSettings = async (path: string, clock: Clock): Promise<void> => {
+  const log = logFor("settings");
+  let last = await stamp(path);
+  const look = async () => {
+    const now = await stamp(path);
+    if (now === last) return;
+    last = now;
+    const read = await readSettings(path);
+    if (read.isOk) setLogLevel(read.value.logLevel);
+    else log.warn(`The changed settings are not taken: ${read.error.sentence}.`);
+  };
+  clock.every(LOOK_US, () => void look());
+  process.on("SIGHUP", () => void look());
+};
+
+const run = async (program: (settings: Settings, clock: Clock) => Promise<Running>): Promise<void> => {
+  const path = process.env[SETTINGS_VARIABLE] ?? "/etc/yewreel/boot.toml";
+  const read = await readSettings(path);
+  if (read.isErr) {
+    process.stderr.write(`yewreel: ${path}: ${read.error.sentence}\n`);
+    process.exit(WRONG_SETTINGS);
+  }
+  setLogLevel(read.value.logLevel);
+  const log = logFor("yewreel");
+  process.on("unhandledRejection", (mishap) => log.warn(`A mishap nobody took: ${mishap instanceof Error ? (mishap.stack ?? mishap.message) : String(mishap)}.`));
+  const clock = new SteadyClock();
+  const running = await program(read.value, clock);
+  await watchSettings(path, clock);
+  let stopping = false;
+  const stop = () => {
+    if (stopping) return;
+    stopping = true;
+    void running.stop().then(() => process.exit(0));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+};
+
+const cli = new Command("yewreel").description("An API gateway that repairs itself and explains what it did.");
+cli.command("pointsman").description("carry callers' requests to workers (data plane)").action(() => run(runPointsman));
+cli.command("signalbox").description("hold the plan, know workers and nodes, decide (control plane)").action(() => run(runSignalbox));
+await cli.parseAsync();
