Tests of the plan, the calls and the duty; an equal version changes nothing

Cause: two operators' writes of one version to two boxes were told apart by digest even when the first was long acknowledged. A write now keeps what a majority read already holds at an equal version. Found by a scenario.

--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,6 @@
+export default {
+  paths: ["features/*.feature"],
+  import: ["target/test/features/steps/*.js"],
+  format: ["summary"],
+  strict: true,
+};
--- /dev/null
+++ b/features/plan.feature
@@ -0,0 +1,67 @@
+Feature: The plan's items are registers that merge upward and survive
+
+  Background:
+    Given 4 signalboxes of which 3 are seeds
+
+  Scenario: A change is acknowledged once enough copies hold it on disk
+    When the operator puts route "r1" at version 7 through box 1
+    Then the change is acknowledged
+    And at least 2 copies hold route "r1" at version 7 on their disks
+
+  Scenario: A box cut off from the majority acknowledges nothing
+    Given box 1 is cut off
+    When the operator puts route "r1" at version 7 through box 1
+    Then the change is not acknowledged
+
+  Scenario: An older or equal version has no effect
+    Given the operator puts route "r1" at version 9 through box 1
+    When the operator puts route "r1" at version 8 through box 2
+    And the operator puts another route "r1" at version 9 through box 3
+    Then reading through box 2 gives route "r1" as it was put first
+
+  Scenario: A drop stays a drop when an older change comes again
+    Given the operator puts route "r1" at version 3 through box 1
+    And the operator drops route "r1" at version 5 through box 2
+    When the operator puts route "r1" at version 3 through box 3
+    Then reading through box 1 gives no route "r1"
+
+  Scenario: Two operators write the same version at once and every copy ends alike
+    When two operators put different routes "r1" at version 4 through boxes 1 and 2 at once
+    Then reading through each box gives the same route "r1"
+
+  Scenario: What was acknowledged survives the loss of one disk while all others lose power
+    Given every box is on the roster
+    And the operator puts route "r1" at version 7 through box 1
+    When box 1 loses its disk and every box is started again
+    Then reading through box 1 gives route "r1" as it was put first
+    And reading through box 3 gives route "r1" as it was put first
+
+  Scenario: A box that lost its disk counts for nothing until it has read a majority
+    Given the operator puts route "r1" at version 7 through box 1
+    When box 2 loses its disk and starts again cut off from all others
+    Then box 2 is not counting
+    And reading through box 2 fails
+
+  Scenario: A read mends the copy that it finds old
+    Given box 3 is cut off
+    And the operator puts route "r1" at version 7 through box 1
+    When box 3 is joined again
+    And someone reads through box 3
+    Then the copy of box 3 holds route "r1" at version 7
+
+  Scenario: A version file that is torn is passed over for the one before
+    Given the operator puts route "r1" at version 7 through box 1
+    And the operator puts route "r1" at version 8 through box 1
+    When every box is killed and the newest file of box 1 is torn
+    And every box is started again
+    Then reading through box 1 gives route "r1" at version 8
+
+  Scenario: A random history of changes, cuts and kills loses nothing that was acknowledged
+    Given every box is on the roster
+    When 120 random steps of changes, cuts, kills and disk losses are played with seed 11
+    Then every acknowledged version is read back, or a higher one
+
+  Scenario: Another random history
+    Given every box is on the roster
+    When 120 random steps of changes, cuts, kills and disk losses are played with seed 42
+    Then every acknowledged version is read back, or a higher one
--- /dev/null
+++ b/features/steps/plan.ts
@@ -0,0 +1,351 @@
+import assert from "node:assert/strict";
+import { readdir, readFile, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { layOut, readCall, unknownService } from "../../src/interlocking/check.js";
+import { Archive } from "../../src/interlocking/archive.js";
+import { makeRegister, type Register } from "../../src/interlocking/register.js";
+import { rosterRegister } from "../../src/interlocking/ledger.js";
+import { asRec, parseJson, type Rec } from "../../src/trackbed/shape.js";
+import { Copies, type Copy } from "../support/copies.js";
+import { settle } from "../support/manual-clock.js";
+
+const BOXES = ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"];
+const box = (number: number): string => BOXES[number - 1] ?? "";
+const key = (name: string): string => `route/${name}`;
+
+let copies = new Copies([]);
+let acknowledged = false;
+let first = "";
+const acks = new Map<string, number>();
+
+const put = async (name: string, version: number, through: string, body = `{"v":${version},"name":"${name}"}`, dropped = false): Promise<boolean> => {
+  const { ledger } = copies.copy(through);
+  const read = await ledger.read();
+  if (read.isErr) return false;
+  const written = await ledger.write([makeRegister(key(name), version, dropped ? "" : body, dropped)]);
+  return written.isOk;
+};
+
+const readThrough = async (id: string, name: string): Promise<Register | undefined> => {
+  const { ledger } = copies.copy(id);
+  const mended = await ledger.readAndMend();
+  assert.ok(mended.isOk, `reading through ${id} failed`);
+  return ledger.get(key(name));
+};
+
+After(async () => {
+  await copies.clean();
+  copies = new Copies([]);
+});
+
+Given("{int} signalboxes of which 3 are seeds", async (count: number) => {
+  copies = new Copies(BOXES.slice(0, count));
+  acks.clear();
+  first = "";
+  await copies.startAll();
+});
+
+Given("every box is on the roster", async () => {
+  for (const id of BOXES) await copies.copy(id).ledger.read();
+  const written = await copies.copy(box(1)).ledger.write([rosterRegister(2, BOXES)]);
+  assert.ok(written.isOk);
+  for (const id of BOXES) assert.ok((await copies.copy(id).ledger.readAndMend()).isOk);
+});
+
+Given("box {int} is cut off", (number: number) => {
+  copies.cut.add(box(number));
+});
+
+When("box {int} is joined again", (number: number) => {
+  copies.cut.delete(box(number));
+});
+
+When("the operator puts route {string} at version {int} through box {int}", async (name: string, version: number, number: number) => {
+  if (first === "") first = `{"v":${version},"name":"${name}"}`;
+  acknowledged = await put(name, version, box(number));
+});
+
+When("the operator puts another route {string} at version {int} through box {int}", async (name: string, version: number, number: number) => {
+  await put(name, version, box(number), `{"another":"~~~${name}"}`);
+});
+
+When("the operator drops route {string} at version {int} through box {int}", async (name: string, version: number, number: number) => {
+  assert.ok(await put(name, version, box(number), "", true));
+});
+
+When("two operators put different routes {string} at version {int} through boxes {int} and {int} at once", async (name: string, version: number, one: number, other: number) => {
+  const both = await Promise.all([put(name, version, box(one), '{"by":"one"}'), put(name, version, box(other), '{"by":"other"}')]);
+  assert.deepEqual(both, [true, true]);
+});
+
+When("box {int} loses its disk and every box is started again", async (number: number) => {
+  await settle(20);
+  await copies.wipe(box(number));
+  copies.killAll();
+  for (const id of BOXES) await copies.start(id, false);
+  for (const id of BOXES) await copies.copy(id).ledger.read();
+});
+
+When("box {int} loses its disk and starts again cut off from all others", async (number: number) => {
+  await copies.wipe(box(number));
+  copies.cut.add(box(number));
+  await copies.start(box(number), false);
+});
+
+When("someone reads through box {int}", async (number: number) => {
+  assert.ok((await copies.copy(box(number)).ledger.readAndMend()).isOk);
+});
+
+When("every box is killed and the newest file of box {int} is torn", async (number: number) => {
+  await settle(20);
+  copies.killAll();
+  const folder = copies.folderOf(box(number));
+  const newest = (await readdir(folder)).filter((name) => name.endsWith(".bin")).sort((a, b) => Number(/\d+/.exec(b)) - Number(/\d+/.exec(a)))[0] ?? "";
+  const bytes = await readFile(join(folder, newest));
+  await writeFile(join(folder, newest), bytes.subarray(0, bytes.length / 2));
+});
+
+When("every box is started again", async () => {
+  for (const id of BOXES) await copies.start(id, false);
+});
+
+const nextOf = (seed: number): (() => number) => {
+  let state = seed;
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return state / 2_147_483_648;
+  };
+};
+
+When("{int} random steps of changes, cuts, kills and disk losses are played with seed {int}", async (steps: number, seed: number) => {
+  const next = nextOf(seed);
+  const pick = (): string => box(1 + Math.floor(next() * BOXES.length));
+  let hurt = "";
+  for (let step = 1; step <= steps; step += 1) {
+    const kind = next();
+    const id = pick();
+    if (kind < 0.6) {
+      const name = `r${Math.floor(next() * 5)}`;
+      if (copies.running.has(id) && (await put(name, step, id))) acks.set(name, step);
+    } else if (kind < 0.7 && hurt === "") {
+      hurt = id;
+      copies.cut.add(id);
+    } else if (kind < 0.78 && hurt === "") {
+      hurt = id;
+      await settle(20);
+      copies.kill(id);
+    } else if (kind < 0.84 && hurt === "") {
+      hurt = id;
+      await settle(20);
+      await copies.wipe(id);
+    } else if (kind < 0.9) {
+      await settle(20);
+      copies.killAll();
+      for (const other of BOXES) if (other !== hurt) await copies.start(other, false);
+      for (const other of BOXES) if (other !== hurt) await copies.copy(other).ledger.read();
+    } else if (hurt !== "") {
+      copies.cut.delete(hurt);
+      if (!copies.running.has(hurt)) await copies.start(hurt, false);
+      await copies.copy(hurt).ledger.read();
+      hurt = "";
+    }
+  }
+  copies.cut.clear();
+  for (const id of BOXES) if (!copies.running.has(id)) await copies.start(id, false);
+  for (const id of BOXES) await copies.copy(id).ledger.read();
+});
+
+Then("every acknowledged version is read back, or a higher one", async () => {
+  assert.ok(acks.size >= 3, "the history acknowledged too little to tell anything");
+  for (const id of BOXES) {
+    for (const [name, version] of acks) assert.ok(((await readThrough(id, name))?.version ?? 0) >= version, `${name} at ${version} was lost`);
+  }
+});
+
+Then("the change is acknowledged", () => assert.ok(acknowledged));
+Then("the change is not acknowledged", () => assert.ok(!acknowledged));
+
+Then("at least {int} copies hold route {string} at version {int} on their disks", async (count: number, name: string, version: number) => {
+  await settle(20);
+  const loaded = await Promise.all(BOXES.map((id) => new Archive(copies.folderOf(id), () => []).load()));
+  const holding = loaded.filter((registers) => registers?.some((register) => register.key === key(name) && register.version === version));
+  assert.ok(holding.length >= count, `${holding.length} copies hold it`);
+});
+
+Then("reading through box {int} gives route {string} as it was put first", async (number: number, name: string) => {
+  assert.equal((await readThrough(box(number), name))?.body, first);
+});
+
+Then("reading through box {int} gives route {string} at version {int}", async (number: number, name: string, version: number) => {
+  assert.equal((await readThrough(box(number), name))?.version, version);
+});
+
+Then("reading through box {int} gives no route {string}", async (number: number, name: string) => {
+  assert.equal((await readThrough(box(number), name))?.dropped, true);
+});
+
+Then("reading through each box gives the same route {string}", async (name: string) => {
+  const bodies = new Set<string>();
+  for (const id of BOXES) bodies.add((await readThrough(id, name))?.body ?? "none");
+  assert.equal(bodies.size, 1);
+  assert.ok(!bodies.has("none"));
+});
+
+Then("box {int} is not counting", (number: number) => assert.equal(copies.copy(box(number)).ledger.isCounting, false));
+
+Then("reading through box {int} fails", async (number: number) => {
+  assert.ok((await copies.copy(box(number)).ledger.readAndMend()).isErr);
+});
+
+Then("the copy of box {int} holds route {string} at version {int}", (number: number, name: string, version: number) => {
+  assert.equal(copies.copy(box(number)).ledger.get(key(name))?.version, version);
+});
+
+// --- duty -----------------------------------------------------------------------------------------------------------
+
+let oldHolder: Copy | undefined;
+let oldEpoch = 0;
+const holdersByEpoch = new Map<number, Set<string>>();
+
+const holders = (): readonly Copy[] => [...copies.running.values()].filter((copy) => copy.duty.isHolder());
+const reachableHolder = (): Copy | undefined => holders().find((copy) => !copies.cut.has(copy.id));
+const note = (): void =>
+  holders().forEach((copy) => {
+    const epoch = copy.duty.epoch();
+    holdersByEpoch.set(epoch, (holdersByEpoch.get(epoch) ?? new Set()).add(copy.id));
+  });
+
+const pass = async (seconds: number): Promise<void> => {
+  for (let step = 0; step < seconds * 4; step += 1) {
+    await copies.clock.pass(250_000);
+    for (const copy of copies.running.values()) await copy.ledger.read();
+    await settle(8);
+    note();
+  }
+};
+
+Given("their duties are started", () => {
+  holdersByEpoch.clear();
+  copies.running.forEach((copy) => copy.duty.start());
+});
+
+When("{int} seconds pass", async (seconds: number) => pass(seconds));
+
+const remember = (): Copy => {
+  const holder = reachableHolder();
+  assert.ok(holder, "nobody holds the duty");
+  oldHolder = holder;
+  oldEpoch = holder.duty.epoch();
+  return holder;
+};
+
+When("the holder is cut off", () => {
+  copies.cut.add(remember().id);
+});
+
+When("the holder hands over", async () => {
+  await remember().duty.handOver();
+  await pass(1);
+});
+
+When("box {int} is killed", (number: number) => copies.kill(box(number)));
+
+When("the holder is cut off and joined again {int} times", async (times: number) => {
+  await pass(3);
+  for (let time = 0; time < times; time += 1) {
+    copies.cut.add(remember().id);
+    await pass(5);
+    copies.cut.clear();
+    await pass(1);
+  }
+});
+
+Then("exactly {int} box holds the duty", (count: number) => assert.equal(holders().length, count));
+
+Then("the roster has {int} members everywhere", (count: number) => {
+  copies.running.forEach((copy) => assert.equal(copy.ledger.members().length, count, copy.id));
+});
+
+Then("the roster has {int} members on the running boxes", (count: number) => {
+  copies.running.forEach((copy) => assert.equal(copy.ledger.members().length, count, copy.id));
+});
+
+Then("another box holds the duty with a higher epoch", () => {
+  const holder = reachableHolder();
+  assert.ok(holder && holder.id !== oldHolder?.id);
+  assert.ok(holder.duty.epoch() > oldEpoch);
+});
+
+Then("what the old holder writes under its epoch is refused", async () => {
+  copies.cut.clear();
+  const written = await oldHolder?.ledger.write([makeRegister("duty/ejections", oldEpoch * 1_000_000, "{}")], oldEpoch);
+  assert.ok(written?.isErr);
+});
+
+Then("no epoch was ever held by two boxes", () => {
+  assert.ok(holdersByEpoch.size >= 4);
+  holdersByEpoch.forEach((ids) => assert.equal(ids.size, 1));
+});
+
+// --- calls ----------------------------------------------------------------------------------------------------------
+
+const rule = (changes: Rec = {}, then: Rec = {}): Rec => ({
+  name: "r1",
+  routeKind: "safe",
+  target_time: "200ms",
+  rank: 1,
+  version: 3,
+  matchOn: { pathStart: "/a/" },
+  then: { service: "s1", giveUp: "1200ms", tries: 2, ...then },
+  ...changes,
+});
+const group = { name: "s1", statusPath: "/health", maxConnections: 10, protocol: "h1", encrypted: false, version: 3 };
+const limits = { maxHeaderBytes: 16384, maxBodyBytes: 1000, headerWait: "3000ms", idle: "15000ms", version: 1 };
+const callOf = (oneRule: Rec, host = "a.example"): Rec => ({
+  putItems: { limits, listeners: [{ host, rules: [oneRule] }], groups: [group] },
+  remove: { routes: [] },
+});
+
+const FLAWS: Readonly<Record<string, () => string>> = {
+  "is cut short": () => JSON.stringify(callOf(rule())).slice(0, -20),
+  "is a list": () => "[]",
+  "has a route with an empty host": () => JSON.stringify(callOf(rule(), "")),
+  "has a path without a leading slash": () => JSON.stringify(callOf(rule({ matchOn: { pathStart: "a/" } }))),
+  "gives up after eleven minutes": () => JSON.stringify(callOf(rule({}, { giveUp: "660s" }))),
+  "has a route without a version": () => JSON.stringify(callOf(rule({ version: undefined }))),
+  "has shares of 0": () => JSON.stringify(callOf(rule({}, { service: undefined, shares: [{ service: "s1", share: 0 }] }))),
+  "has a route of an unknown kind": () => JSON.stringify(callOf(rule({ routeKind: "maybe" }))),
+  "names a service nobody knows": () => JSON.stringify(callOf(rule({}, { service: "nobody" }))),
+  "is right": () => JSON.stringify(callOf(rule())),
+};
+
+let call: ReturnType<typeof readCall> | undefined;
+
+When(/^a call is read that (.*)$/, (flaw: string) => {
+  const make = FLAWS[flaw];
+  assert.ok(make, `no such flaw: ${flaw}`);
+  call = readCall(make());
+});
+
+Then("it is refused as {string}", (kind: string) => {
+  assert.ok(call?.isErr);
+  assert.equal(call.error.kind, kind);
+  assert.ok(call.error.sentence.length > 5);
+});
+
+Then("the unknown service is {string}", (name: string) => {
+  assert.ok(call?.isOk);
+  assert.equal(unknownService(call.value, () => undefined), name);
+});
+
+Then("no service is unknown", () => {
+  assert.ok(call?.isOk);
+  assert.equal(unknownService(call.value, () => undefined), undefined);
+});
+
+Then("laying its items out gives the call's items again", () => {
+  assert.ok(call?.isOk);
+  const sent = asRec(asRec(parseJson(FLAWS["is right"]?.() ?? ""))["putItems"]);
+  assert.deepEqual(layOut(call.value), sent);
+});
--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -178,10 +178,14 @@
     return this.write(this.all().filter((register) => this.settled.get(register.key) !== register.digest));
   };
 
-  /** Merges the registers here and makes a quorum hold what the merge gives for their keys. */
+  /**
+   * Makes a quorum hold the registers, or for the keys of which as high a version is held already, what is held: an
+   * equal version changes nothing. After a read of a majority that covers every acknowledged version; only writes made
+   * at the same moment are told apart by their digests.
+   */
   readonly write = async (registers: readonly Register[], epoch?: number): Promise<Result<void, LedgerMishap>> => {
     const rosterBefore = this.members();
-    this.merge(registers);
+    this.merge(registers.filter((register) => register.version > (this.get(register.key)?.version ?? -1)));
     const current = registers.map((register) => this.get(register.key) ?? register);
     let stale: "epoch" | "roster" | undefined;
     const gathered = await this.gather(
