--- a/features/steps/plan.ts
+++ b/features/steps/plan.ts
@@ -82,7 +82,7 @@
 When("box {int} loses its disk and every box is started again", async (number: number) => {
   await settle(20);
   await copies.wipe(box(number));
-  copies.killAll();
+  await copies.killAll();
   for (const id of BOXES) await copies.start(id, false);
   for (const id of BOXES) await copies.copy(id).ledger.read();
 });
@@ -99,7 +99,7 @@
 
 When("every box is killed and the newest file of box {int} is torn", async (number: number) => {
   await settle(20);
-  copies.killAll();
+  await copies.killAll();
   const folder = copies.folderOf(box(number));
   const newest = (await readdir(folder)).filter((name) => name.endsWith(".bin")).sort((a, b) => Number(/\d+/.exec(b)) - Number(/\d+/.exec(a)))[0] ?? "";
   const bytes = await readFile(join(folder, newest));
@@ -134,14 +134,14 @@
     } else if (kind < 0.78 && hurt === "") {
       hurt = id;
       await settle(20);
-      copies.kill(id);
+      await copies.kill(id);
     } else if (kind < 0.84 && hurt === "") {
       hurt = id;
       await settle(20);
       await copies.wipe(id);
     } else if (kind < 0.9) {
       await settle(20);
-      copies.killAll();
+      await copies.killAll();
       for (const other of BOXES) if (other !== hurt) await copies.start(other, false);
       for (const other of BOXES) if (other !== hurt) await copies.copy(other).ledger.read();
     } else if (hurt !== "") {
@@ -249,7 +249,7 @@
   await pass(1);
 });
 
-When("box {int} is killed", (number: number) => copies.kill(box(number)));
+When("box {int} is killed", async (number: number) => copies.kill(box(number)));
 
 When("the holder is cut off and joined again {int} times", async (times: number) => {
   await pass(3);
--- /dev/null
+++ b/features/steps/traffic.ts
@@ -0,0 +1,267 @@
+import assert from "node:assert/strict";
+import { request as httpRequest, type IncomingHttpHeaders } from "node:http";
+import { connect } from "node:net";
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import { readCall } from "../../src/interlocking/check.js";
+import { Board, PLAN_PREFIX, WORKER_PREFIX } from "../../src/signalling/board.js";
+import { Allowance } from "../../src/traction/allowance.js";
+import { Front } from "../../src/traction/front.js";
+import { RouteTable } from "../../src/traction/routes.js";
+import { Yard } from "../../src/traction/yard.js";
+import { silentLog } from "../../src/trackbed/log.js";
+import { ManualClock, settle } from "../support/manual-clock.js";
+import { StandIn, type Manner } from "../support/stand-in.js";
+
+interface Got {
+  readonly status: number;
+  readonly heads: IncomingHttpHeaders;
+  readonly body: string;
+}
+
+const MANNERS: Readonly<Record<string, Manner>> = {
+  "answers well": "well",
+  "answers with a wrong id": "wrong id",
+  "answers without a seal": "no seal",
+  "answers and breaks off": "breaks off",
+  "answers with no bytes of the protocol": "no bytes of the protocol",
+  "answers with a reset": "resets",
+  "answers that it failed": "fails",
+  "answers that it is full": "full",
+  "answers that it is another": "other",
+  "answers well and sends an extra answer": "an extra answer",
+  "stays silent": "silent",
+};
+
+const PLAN = JSON.stringify({
+  putItems: {
+    listeners: [
+      {
+        host: "a.example",
+        rules: ["safe", "unsafe"].map((kind) => ({
+          name: kind,
+          routeKind: kind,
+          target_time: "800ms",
+          rank: 1,
+          version: 1,
+          matchOn: { pathStart: `/${kind}/` },
+          then: { service: "s1", giveUp: "3000ms", tries: 2 },
+        })),
+      },
+    ],
+    groups: [{ name: "s1", statusPath: "/health", maxConnections: 100, version: 1 }],
+  },
+});
+
+let clock = new ManualClock();
+let board = new Board(clock);
+let yard = new Yard(clock);
+let front: Front;
+let port = 0;
+let isAllowanceEmpty = false;
+let workers = new Map<string, StandIn>();
+let got: Got[] = [];
+let raw = "";
+let lastTry = 0;
+
+const build = async (withPlan: boolean): Promise<void> => {
+  clock = new ManualClock();
+  board = new Board(clock);
+  yard = new Yard(clock);
+  const table = new RouteTable();
+  const generous = new Allowance(clock, { ratio: 100, windowUs: 10_000_000, slack: 100 });
+  const none = new Allowance(clock, { ratio: 0, windowUs: 10_000_000, slack: 0 });
+  front = new Front({
+    clock,
+    log: silentLog,
+    cell: "c1",
+    table,
+    yard,
+    allowanceOf: () => (isAllowanceEmpty ? none : generous),
+    connectionShare: () => 10,
+    countFault: () => undefined,
+    tally: () => undefined,
+    random: Math.random,
+  });
+  board.events.on("changed", (facts) => {
+    table.take(facts);
+    yard.take(facts);
+    front.wake();
+  });
+  if (withPlan) {
+    const call = readCall(PLAN);
+    assert.ok(call.isOk);
+    board.post(call.value.map((register) => ({ key: PLAN_PREFIX + register.key, version: register.version, tie: "", body: { dropped: false, item: register.body } })));
+  }
+  port = 20_000 + Math.floor(Math.random() * 20_000);
+  await front.listen(`127.0.0.1:${port}`);
+  await settle();
+};
+
+const join = async (id: string, manner: Manner): Promise<StandIn> => {
+  const worker = new StandIn(id, manner);
+  await worker.start();
+  workers.set(id, worker);
+  board.post([{ key: WORKER_PREFIX + id, version: 1, tie: "", body: { service: "s1", address: worker.address, cell: "c1", capacity: 3, state: "ready", warmUs: 0 } }]);
+  await settle();
+  return worker;
+};
+
+const send = (method: string, path: string, body = ""): Promise<Got> =>
+  new Promise((resolve, reject) => {
+    lastTry += 1;
+    const request = httpRequest(
+      { host: "127.0.0.1", port, method, path, agent: false, headers: { Host: "a.example", "Yewreel-Try-Id": `try-${lastTry}`, "Yewreel-Time-Left-Ms": "2500", ...(body === "" ? {} : { "Content-Length": body.length }) } },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("end", () => resolve({ status: response.statusCode ?? 0, heads: response.headers, body: Buffer.concat(chunks).toString() }));
+        response.on("error", reject);
+      },
+    );
+    request.on("error", reject);
+    request.end(body);
+  });
+
+/** Moves the clock on until the answer is there; what is under test never waits for real time. */
+const during = async (work: Promise<Got>, stepUs = 20_000): Promise<Got> => {
+  let done: Got | undefined;
+  const finished = work.then((answer) => {
+    done = answer;
+  });
+  for (let step = 0; step < 2_000 && done === undefined; step += 1) await clock.pass(stepUs);
+  await finished;
+  assert.ok(done);
+  return done;
+};
+
+const converse = (bytes: string, enough: (answer: string) => boolean): Promise<string> =>
+  new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(bytes));
+    let answer = "";
+    socket.on("data", (chunk) => {
+      answer += chunk.toString();
+      if (enough(answer)) socket.destroy();
+    });
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(answer));
+  });
+
+const last = (): Got => {
+  const answer = got[got.length - 1];
+  assert.ok(answer, "no answer came");
+  return answer;
+};
+const worker = (id: string): StandIn => {
+  const found = workers.get(id);
+  assert.ok(found);
+  return found;
+};
+
+Before(() => {
+  workers = new Map();
+  got = [];
+  raw = "";
+  isAllowanceEmpty = false;
+});
+
+After({ tags: "not @none" }, () => {
+  workers.forEach((one) => one.stop());
+  yard.all().forEach((one) => one.closeIdle());
+  if (port !== 0) front.stopListening();
+  port = 0;
+});
+
+Given("a front with the plan's routes {string} and {string}", async (_safe: string, _unsafe: string) => build(true));
+Given("a front without a plan", async () => {
+  front.stopListening();
+  await build(false);
+});
+Given(/^a worker "(\w+)" that (answers .*|stays silent)$/, async (id: string, manner: string) => {
+  const known = MANNERS[manner];
+  assert.ok(known, `no such manner: ${manner}`);
+  await join(id, known);
+});
+Given("the allowance is empty", () => {
+  isAllowanceEmpty = true;
+});
+
+When("a caller posts {string} to {string}", async (body: string, path: string) => {
+  got.push(await during(send("POST", path, body), 2_000));
+});
+When("a caller gets {string}", async (path: string) => {
+  got.push(await during(send("GET", path), 2_000));
+});
+When("a caller gets {string} until {string} has been asked", async (path: string, id: string) => {
+  for (let time = 0; time < 60 && worker(id).seen.length === 0; time += 1) got.push(await during(send("GET", path), 1_000));
+  assert.ok(worker(id).seen.length > 0, `${id} was never asked`);
+});
+When("a caller posts {string} to {string} until {string} has been asked", async (body: string, path: string, id: string) => {
+  for (let time = 0; time < 60 && worker(id).seen.length === 0; time += 1) got.push(await during(send("POST", path, body), 1_000));
+  assert.ok(worker(id).seen.length > 0, `${id} was never asked`);
+});
+When("a caller gets {string} {int} times in a row", async (path: string, times: number) => {
+  for (let time = 0; time < times; time += 1) got.push(await during(send("GET", path), 1_000));
+});
+When("a caller posts {string} to {string} and its time runs out", async (body: string, path: string) => {
+  got.push(await during(send("POST", path, body), 200_000));
+});
+When("a caller gets {string} while {string} joins and a second passes", async (path: string, id: string) => {
+  const answer = send("GET", path);
+  for (let turn = 0; turn < 500 && worker("w1").seen.length === 0; turn += 1) await clock.pass(1_000);
+  await join(id, "well");
+  got.push(await during(answer, 100_000));
+});
+When("a caller sends {int} requests to {string} at once on one connection", async (count: number, path: string) => {
+  const bytes = Array.from({ length: count }, (_, at) => `GET ${path} HTTP/1.1\r\nHost: a.example\r\nYewreel-Try-Id: p-${at}\r\nYewreel-Time-Left-Ms: 2000\r\n\r\n`).join("");
+  raw = await converse(bytes, (answer) => answer.split("the bytes of the worker").length > count);
+});
+When("the front begins to leave and a caller gets {string}", async (path: string) => {
+  front.beginLeaving();
+  got.push(await during(send("GET", path), 1_000));
+});
+When("a caller sends a head that is too large", async () => {
+  raw = await converse(`GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Large: ${"x".repeat(40_000)}\r\n\r\n`, (answer) => answer.includes("\r\n\r\n"));
+});
+When("a caller sends what is no request", async () => {
+  raw = await converse("this is no request\r\n\r\n", (answer) => answer.includes("\r\n\r\n"));
+});
+
+Then("the answer is {int}", (status: number) => assert.equal(last().status, status));
+Then("the answer is {int} with Retry-After", (status: number) => {
+  assert.equal(last().status, status);
+  assert.ok(Number(last().heads["retry-after"]) > 0);
+});
+Then("the answer is {int} with the worker's body, seal and mark", (status: number) => {
+  assert.equal(last().status, status);
+  assert.equal(last().body, "the bytes of the worker");
+  assert.ok(last().heads["yewreel-server-seal"]);
+  assert.equal(last().heads["x-mark"], "kept");
+});
+Then("the answer is {int} and says that the connection closes", (status: number) => {
+  assert.equal(last().status, status);
+  assert.equal(last().heads.connection, "close");
+});
+Then("the raw answer is {int}", (status: number) => assert.match(raw, new RegExp(`^HTTP/1.1 ${status} `)));
+Then("every answer was {int}", (status: number) => {
+  assert.ok(got.length > 0);
+  got.forEach((answer) => assert.equal(answer.status, status));
+});
+Then("no answer holds the extra bytes", () => got.forEach((answer) => assert.equal(answer.body, "the bytes of the worker")));
+Then("{string} saw the same method, path, query and body, its own id expected, and less time left", (id: string) => {
+  const [seen] = worker(id).seen;
+  assert.ok(seen);
+  assert.match(seen.head, /^POST \/unsafe\/x\?y=1 HTTP\/1\.1/);
+  assert.equal(seen.body, "an order");
+  assert.equal(seen.expected, id);
+  const left = Number(/yewreel-time-left-ms: (\d+)/i.exec(seen.head)?.[1]);
+  assert.ok(left > 0 && left <= 2_500);
+});
+Then("{string} saw {int} request(s)", (id: string, count: number) => assert.equal(worker(id).seen.length, count));
+Then("the workers saw {int} request(s) in all", (count: number) => {
+  assert.equal([...workers.values()].reduce((sum, one) => sum + one.seen.length, 0), count);
+});
+Then("{string} is no longer known", (id: string) => assert.ok(!yard.all().some((one) => one.id === id)));
+Then("{int} answers come back in the order of their ids", (count: number) => {
+  const ids = [...raw.matchAll(/Yewreel-Try-Id: (p-\d+)/gi)].map((match) => match[1]);
+  assert.deepEqual(ids, Array.from({ length: count }, (_, at) => `p-${at}`));
+});
--- a/features/support/copies.ts
+++ b/features/support/copies.ts
@@ -71,26 +71,28 @@
   };
 
   /** Every process is killed at once; what was synced stays. */
-  readonly killAll = (): void => {
-    this.running.forEach((copy) => copy.duty.stop());
-    this.running.clear();
+  readonly killAll = async (): Promise<void> => {
+    for (const id of [...this.running.keys()]) await this.kill(id);
   };
 
-  readonly kill = (id: string): void => {
-    this.running.get(id)?.duty.stop();
+  /** A kill lets a write that the disk has begun come to its end, so that no two lives write one folder. */
+  readonly kill = async (id: string): Promise<void> => {
+    const copy = this.running.get(id);
+    copy?.duty.stop();
     this.running.delete(id);
+    await copy?.ledger.safe();
+    await settle(4);
   };
 
   readonly wipe = async (id: string): Promise<void> => {
-    this.kill(id);
+    await this.kill(id);
     await rm(this.folderOf(id), { recursive: true, force: true });
   };
 
   readonly folderOf = (id: string): string => this.folders.get(id) ?? "";
 
   readonly clean = async (): Promise<void> => {
-    this.killAll();
-    await settle(20);
+    await this.killAll();
     for (const folder of this.folders.values()) await rm(folder, { recursive: true, force: true });
   };
 
