--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -171,7 +171,10 @@
   port = 0;
 });
 
-Given("a front with the plan's routes {string} and {string}", async (_safe: string, _unsafe: string) => build(true));
+Given("a front with the plan's routes {string} and {string}", async (one: string, other: string) => {
+  assert.notEqual(one, other);
+  await build(true);
+});
 Given("a front without a plan", async () => {
   front.stopListening();
   await build(false);
