--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -78,8 +78,10 @@
     yard,
     allowanceOf: () => (isAllowanceEmpty ? none : generous),
     connectionShare: () => 10,
+    otherNodes: () => ({ here: 0, everywhere: 0 }),
     countFault: () => undefined,
     tally: () => undefined,
+    countRollout: () => undefined,
     random: Math.random,
   });
   board.events.on("changed", (facts) => {
--- /dev/null
+++ b/src/inspection/rollout-counts.ts
@@ -0,0 +1,55 @@
+import type { Message } from "../trackbed/wire.js";
+import type { OutcomeKind } from "./evidence.js";
+
+/** "own" are mishaps of the system itself or of this node's links, which are held against nobody. */
+export type RolloutOutcome = OutcomeKind | "own";
+
+interface Row {
+  readonly route: string;
+  readonly version: number;
+  readonly service: string;
+  readonly stratum: string;
+  inTime: number;
+  late: number;
+  lost: number;
+  doubled: number;
+  own: number;
+}
+
+const MOST_ROWS = 2_000;
+
+/**
+ * What one pointsman saw of routes that send their traffic to more than one service.
+ * Invariants: counts only rise within a life; rows exist only for route versions in force, so memory is bounded by them.
+ */
+export class RolloutCounts {
+  private readonly rows = new Map<string, Row>();
+  private readonly changed = new Set<string>();
+
+  constructor(private readonly life: string) {}
+
+  readonly count = (route: string, version: number, service: string, stratum: string, outcome: RolloutOutcome): void => {
+    const key = `${route}\n${version}\n${service}\n${stratum}`;
+    const row = this.rows.get(key) ?? { route, version, service, stratum, inTime: 0, late: 0, lost: 0, doubled: 0, own: 0 };
+    if (!this.rows.has(key) && this.rows.size >= MOST_ROWS) return;
+    row[outcome] += 1;
+    this.rows.set(key, row);
+    this.changed.add(key);
+  };
+
+  /** Forgets what is no longer in force. */
+  readonly keepOnly = (isInForce: (route: string, version: number) => boolean): void => {
+    this.rows.forEach((row, key) => {
+      if (isInForce(row.route, row.version)) return;
+      this.rows.delete(key);
+      this.changed.delete(key);
+    });
+  };
+
+  readonly takeReport = (): Message | undefined => {
+    if (this.changed.size === 0) return undefined;
+    const rows = [...this.changed].flatMap((key) => this.rows.get(key) ?? []).map((row) => [row.route, row.version, row.service, row.stratum, row.inTime, row.late, row.lost, row.doubled, row.own]);
+    this.changed.clear();
+    return { kind: "rollout", life: this.life, rows };
+  };
+}
--- /dev/null
+++ b/src/inspection/rollout-inspector.ts
@@ -0,0 +1,270 @@
+import type { Clock, Pulse } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { asList, asRec, list, numberOf, text, textOf, whole, type Rec } from "../trackbed/shape.js";
+import { MS } from "../trackbed/span.js";
+import type { Message } from "../trackbed/wire.js";
+import { NO_TALLY, Trial, type Tally, type TrialTerms, type TrialVerdict } from "./evidence.js";
+
+/** A route that sends its traffic to more than one service, as the plan in force has it. */
+export interface SplitRoute {
+  readonly name: string;
+  readonly version: number;
+  readonly isSafe: boolean;
+  readonly shares: readonly { readonly service: string; readonly share: number }[];
+}
+
+export interface Stop {
+  readonly route: string;
+  readonly version: number;
+  readonly candidate: string;
+  readonly baseline: string;
+  readonly reason: string;
+  readonly evidence: Rec;
+}
+
+/**
+ * What is published. Invariants: a baseline is settled once for a route's version; a stop holds for that version only,
+ * and goes only by the operator's clearing or a newer version.
+ */
+export interface RolloutState {
+  readonly baselines: readonly { readonly route: string; readonly version: number; readonly service: string }[];
+  readonly stops: readonly Stop[];
+}
+
+export const NO_ROLLOUTS: RolloutState = { baselines: [], stops: [] };
+
+export const readRolloutState = (value: unknown): RolloutState => {
+  const rec = asRec(value, "rollouts");
+  return {
+    baselines: list(rec, "baselines", asRec).map((row) => ({ route: text(row, "route"), version: whole(row, "version"), service: text(row, "service") })),
+    stops: list(rec, "stops", asRec).map((row) => ({
+      route: text(row, "route"),
+      version: whole(row, "version"),
+      candidate: text(row, "candidate"),
+      baseline: text(row, "baseline"),
+      reason: text(row, "reason"),
+      evidence: asRec(row["evidence"], "evidence"),
+    })),
+  };
+};
+
+export interface RolloutInspectorOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly terms: TrialTerms;
+  readonly random: () => number;
+  readonly isHolder: () => boolean;
+  readonly epoch: () => number;
+  readonly splitRoutes: () => readonly SplitRoute[];
+  /** The service that the item's previous version sent the most to, where that is known here. */
+  readonly previousMain: (route: string) => string | undefined;
+  readonly state: () => RolloutState;
+  readonly publish: (state: RolloutState) => Promise<boolean>;
+}
+
+interface Comparison {
+  readonly route: SplitRoute;
+  readonly baseline: string;
+  readonly trials: Map<string, Trial>;
+  readonly sinceUs: number;
+  readonly verdicts: Map<string, TrialVerdict & { readonly afterUs: number }>;
+  own: number;
+}
+
+interface ReportRow {
+  readonly route: string;
+  readonly version: number;
+  readonly service: string;
+  readonly stratum: string;
+  readonly tally: Tally;
+  readonly own: number;
+}
+
+export type ClearMishap = "unknown-route" | "stale-version" | "not-stopped" | "not-published";
+
+const TICK_US = 500 * MS;
+
+const count = (value: unknown): number => {
+  const number = numberOf(value);
+  if (!Number.isSafeInteger(number) || number < 0) throw new Error("no count");
+  return number;
+};
+
+const readRow = (value: unknown): ReportRow => {
+  const [route, version, service, stratum, inTime, late, lost, doubled, own] = asList(value, "row");
+  return {
+    route: textOf(route),
+    version: count(version),
+    service: textOf(service),
+    stratum: textOf(stratum),
+    tally: { inTime: count(inTime), late: count(late), lost: count(lost), doubled: count(doubled) },
+    own: count(own),
+  };
+};
+
+const rise = (now: Tally, before: Tally): Tally | undefined => {
+  const tally = { inTime: now.inTime - before.inTime, late: now.late - before.late, lost: now.lost - before.lost, doubled: now.doubled - before.doubled };
+  return Object.values(tally).every((number) => number >= 0) ? tally : undefined;
+};
+
+/** Compares candidates with their baselines over all nodes, and stops the bad ones; only the duty's holder acts. */
+export class RolloutInspector {
+  private readonly comparisons = new Map<string, Comparison>();
+  /** Invariant: by node, life and row, what was last counted; a report repeated or out of order raises nothing. */
+  private readonly told = new Map<string, { life: string; readonly rows: Map<string, ReportRow> }>();
+  private pulse: Pulse | undefined;
+  private busy = false;
+  private dropped = 0;
+
+  constructor(private readonly options: RolloutInspectorOptions) {}
+
+  readonly start = (): void => {
+    this.pulse = this.options.clock.every(TICK_US, () => void this.tick());
+  };
+
+  readonly stop = (): void => this.pulse?.stop();
+
+  /** Counts a report; what is malformed, or of an unknown route, service or version, is dropped and counted as such. */
+  readonly take = (report: Message): void => {
+    try {
+      const node = text(report, "node");
+      const life = text(report, "life");
+      const rows = list(report, "rows", readRow);
+      const known = this.told.get(node);
+      const told = known?.life === life ? known : { life, rows: new Map<string, ReportRow>() };
+      this.told.set(node, told);
+      rows.forEach((row) => this.takeRow(told.rows, row));
+    } catch {
+      this.dropped += 1;
+    }
+  };
+
+  readonly tick = async (): Promise<void> => {
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      this.follow();
+      if (this.options.isHolder()) await this.decide();
+    } finally {
+      this.busy = false;
+    }
+  };
+
+  readonly list = (): readonly Rec[] => [...this.comparisons.values()].flatMap((comparison) => [...comparison.trials.keys()].map((service) => this.row(comparison, service)));
+
+  readonly explain = (): Rec => ({ holder: this.options.isHolder(), epoch: this.options.epoch(), droppedReports: this.dropped, rollouts: this.list() });
+
+  /** The operator lifts a stop; the comparison begins anew with what comes from now on. */
+  readonly clear = async (route: string, version: number | undefined): Promise<ClearMishap | undefined> => {
+    const inForce = this.options.splitRoutes().find((split) => split.name === route);
+    if (!inForce) return "unknown-route";
+    if (version !== undefined && version !== inForce.version) return "stale-version";
+    const state = this.options.state();
+    const stops = state.stops.filter((stop) => stop.route !== route || stop.version !== inForce.version);
+    if (stops.length === state.stops.length) return "not-stopped";
+    if (!(await this.options.publish({ ...state, stops }))) return "not-published";
+    this.comparisons.delete(route);
+    this.options.log.info(`The operator cleared the stop of ${route} at version ${inForce.version}.`);
+    return undefined;
+  };
+
+  private readonly takeRow = (rows: Map<string, ReportRow>, row: ReportRow): void => {
+    const comparison = this.comparisons.get(row.route);
+    const isShare = comparison !== undefined && comparison.route.version === row.version && comparison.route.shares.some((share) => share.service === row.service);
+    if (!isShare) {
+      this.dropped += 1;
+      return;
+    }
+    const key = `${row.route}\n${row.version}\n${row.service}\n${row.stratum}`;
+    const before = rows.get(key);
+    const risen = rise(row.tally, before?.tally ?? NO_TALLY);
+    if (!risen) return;
+    rows.set(key, row);
+    comparison.own += Math.max(0, row.own - (before?.own ?? 0));
+    if (row.service === comparison.baseline) comparison.trials.forEach((trial) => trial.takeBaseline(row.stratum, risen));
+    else comparison.trials.get(row.service)?.takeCandidate(row.stratum, risen);
+  };
+
+  /** The wanted state is one comparison for each split route in force; what is no longer in force is let go. */
+  private readonly follow = (): void => {
+    const { splitRoutes, clock, terms, random } = this.options;
+    const inForce = new Map(splitRoutes().map((route) => [route.name, route]));
+    this.comparisons.forEach((comparison, name) => {
+      if (inForce.get(name)?.version === comparison.route.version) return;
+      this.comparisons.delete(name);
+      this.told.forEach(({ rows }) => rows.forEach((row, key) => row.route === name && rows.delete(key)));
+    });
+    inForce.forEach((route, name) => {
+      if (this.comparisons.has(name)) return;
+      const baseline = this.baselineOf(route);
+      const candidates = route.shares.map(({ service }) => service).filter((service) => service !== baseline);
+      const trials = new Map(candidates.map((service) => [service, new Trial(route.isSafe, terms, random)]));
+      this.comparisons.set(name, { route, baseline, trials, sinceUs: clock.nowUs(), verdicts: new Map(), own: 0 });
+    });
+  };
+
+  private readonly baselineOf = (route: SplitRoute): string => {
+    const { state, previousMain } = this.options;
+    const settled = state().baselines.find((row) => row.route === route.name && row.version === route.version);
+    const known = settled?.service ?? previousMain(route.name);
+    if (known !== undefined && route.shares.some(({ service }) => service === known)) return known;
+    return [...route.shares].sort((a, b) => b.share - a.share)[0]?.service ?? "";
+  };
+
+  private readonly decide = async (): Promise<void> => {
+    const { state, publish, log, clock, epoch } = this.options;
+    const before = state();
+    const inForce = (row: { readonly route: string; readonly version: number }) => this.comparisons.get(row.route)?.route.version === row.version;
+    const fresh = [...this.comparisons.values()]
+      .filter(({ route }) => !before.baselines.some((row) => row.route === route.name && row.version === route.version))
+      .map(({ route, baseline }) => ({ route: route.name, version: route.version, service: baseline }));
+    const found = [...this.comparisons.values()].flatMap((comparison) => this.judge(comparison, before));
+    const baselines = [...before.baselines.filter(inForce), ...fresh];
+    const stops = [...before.stops.filter(inForce), ...found.map((stop) => ({ ...stop, evidence: { ...stop.evidence, epoch: epoch() } }))];
+    const isSame = fresh.length + found.length === 0 && baselines.length === before.baselines.length && stops.length === before.stops.length;
+    if (isSame || !(await publish({ baselines, stops }))) return;
+    found.forEach((stop) => log.warn(`Stopped ${stop.candidate} on ${stop.route} at version ${stop.version} after ${Math.round((clock.nowUs() - (this.comparisons.get(stop.route)?.sinceUs ?? 0)) / 1_000)} ms: ${stop.reason}`));
+  };
+
+  private readonly judge = (comparison: Comparison, state: RolloutState): readonly Stop[] => {
+    const { clock, log, terms } = this.options;
+    const { route, baseline, trials, verdicts, sinceUs } = comparison;
+    return [...trials].flatMap(([candidate, trial]) => {
+      const isStopped = state.stops.some((stop) => stop.route === route.name && stop.version === route.version && stop.candidate === candidate);
+      const verdict = trial.look();
+      const before = verdicts.get(candidate);
+      if (before?.verdict !== verdict.verdict && verdict.verdict === "pass") log.info(`${candidate} passed on ${route.name} at version ${route.version}: ${verdict.reason}`);
+      verdicts.set(candidate, { ...verdict, afterUs: before?.verdict === verdict.verdict ? before.afterUs : clock.nowUs() - sinceUs });
+      if (verdict.verdict !== "stop" || isStopped) return [];
+      return [{ route: route.name, version: route.version, candidate, baseline, reason: verdict.reason, evidence: evidenceOf(verdict, terms) }];
+    });
+  };
+
+  private readonly row = (comparison: Comparison, candidate: string): Rec => {
+    const { route, baseline, verdicts, trials, own } = comparison;
+    const stop = this.options.state().stops.find((one) => one.route === route.name && one.version === route.version && one.candidate === candidate);
+    const verdict = verdicts.get(candidate);
+    const [candidateTally, baselineTally] = trials.get(candidate)?.totals() ?? [NO_TALLY, NO_TALLY];
+    return {
+      route: route.name,
+      version: route.version,
+      candidate,
+      baseline,
+      verdict: stop ? "stop" : (verdict?.verdict ?? "observing"),
+      reason: stop?.reason ?? verdict?.reason ?? "Not enough has been seen yet.",
+      afterMs: verdict && verdict.verdict !== "observing" ? Math.round(verdict.afterUs / MS) : undefined,
+      seen: { candidate: candidateTally, baseline: baselineTally, heldAgainstNobody: own },
+      evidence: stop?.evidence ?? (verdict ? evidenceOf(verdict, this.options.terms) : {}),
+    };
+  };
+}
+
+const evidenceOf = (verdict: TrialVerdict, terms: TrialTerms): Rec => ({
+  candidate: verdict.candidate,
+  baseline: verdict.baseline,
+  difference: verdict.difference,
+  against: verdict.evidenceAgainst,
+  doubled: verdict.evidenceDoubled,
+  sound: verdict.evidenceSound,
+  bounds: { against: 1 / terms.falseStop, doubled: 1 / terms.falseStopDoubled, sound: 1 / terms.falsePass },
+});
--- /dev/null
+++ b/src/inspection/split-routes.ts
@@ -0,0 +1,38 @@
+import { asList, asRec, parseJson, text, whole } from "../trackbed/shape.js";
+import type { SplitRoute } from "./rollout-inspector.js";
+
+interface Seen {
+  readonly version: number;
+  readonly main: string;
+  readonly split: SplitRoute | undefined;
+}
+
+/** Follows the routes of the plan: which are split now, and which service each sent the most to before. */
+export class SplitRoutes {
+  private readonly seen = new Map<string, Seen>();
+  private readonly mainsBefore = new Map<string, string>();
+
+  readonly take = (name: string, version: number, body: string): void => {
+    const before = this.seen.get(name);
+    if (before && before.version >= version) return;
+    if (before) this.mainsBefore.set(name, before.main);
+    if (body === "") {
+      this.seen.delete(name);
+      this.mainsBefore.delete(name);
+    } else this.seen.set(name, readSeen(name, version, body));
+  };
+
+  readonly all = (): readonly SplitRoute[] => [...this.seen.values()].flatMap((seen) => seen.split ?? []);
+
+  readonly mainBefore = (name: string): string | undefined => this.mainsBefore.get(name);
+}
+
+const readSeen = (name: string, version: number, body: string): Seen => {
+  const rule = asRec(asRec(parseJson(body))["rule"], "rule");
+  const then = asRec(rule["then"], "then");
+  if (then["shares"] === undefined) return { version, main: text(then, "service"), split: undefined };
+  const shares = asList(then["shares"], "shares").map((value) => ({ service: text(asRec(value), "service"), share: whole(asRec(value), "share") }));
+  const main = [...shares].sort((a, b) => b.share - a.share)[0]?.service ?? "";
+  const split = shares.length > 1 ? { name, version, isSafe: rule["routeKind"] === "safe", shares } : undefined;
+  return { version, main, split };
+};
--- a/src/programs/control.ts
+++ b/src/programs/control.ts
@@ -4,7 +4,7 @@
 import type { Register } from "../interlocking/register.js";
 import { readBeat, type Beat, type Registry } from "../signalling/registry.js";
 import type { OutcomeName } from "../trackbed/outcomes.js";
-import { isRec, parseJson, text, type Rec } from "../trackbed/shape.js";
+import { isRec, parseJson, type Rec } from "../trackbed/shape.js";
 import type { Call, Entry, Verdict } from "./dispatch.js";
 
 /** What can go wrong with a call, in this layer's own words. */
@@ -89,29 +89,43 @@
 
   readonly tell = async (call: Call): Promise<Verdict> => {
     const teller = this.tellers[call.segments[1] ?? ""];
-    return teller ? { outcome: "taken", body: { [call.segments[1] ?? ""]: teller() } } : { outcome: "unknownCall" };
+    return teller ? { outcome: "taken", body: { [call.segments[1] ?? ""]: await teller() } } : { outcome: "unknownCall" };
   };
 }
 
-export const controlEntries = (commands: Commands, queries: Queries, shift: (cell: string, why: string) => Promise<boolean>): readonly Entry[] => [
+/** What an operator may ask the duty's holder to do, through any signalbox. */
+export interface Orders {
+  readonly shift: (cell: string, why: string) => Promise<boolean>;
+  readonly clearRollout: (route: string, version: number | undefined) => Promise<OutcomeName>;
+}
+
+const bodyOf = (call: Call): Rec => {
+  try {
+    const value = parseJson(call.body);
+    return isRec(value) ? value : {};
+  } catch {
+    return {};
+  }
+};
+
+const shiftCell = async (orders: Orders, call: Call): Promise<Verdict> => {
+  const { cell, why } = bodyOf(call);
+  if (typeof cell !== "string") return { outcome: "wrong", body: { problem: "cell must be text" } };
+  return { outcome: (await orders.shift(cell, why === "practice" ? why : "by hand")) ? "taken" : "noQuorum" };
+};
+
+const clearRollout = async (orders: Orders, call: Call): Promise<Verdict> => {
+  const { version } = bodyOf(call);
+  if (version !== undefined && typeof version !== "number") return { outcome: "wrong", body: { problem: "version must be a number" } };
+  return { outcome: await orders.clearRollout(call.segments[1] ?? "", version) };
+};
+
+export const controlEntries = (commands: Commands, queries: Queries, orders: Orders): readonly Entry[] => [
   { method: "POST", path: "/plan/change", act: commands.changePlan },
   { method: "GET", path: "/plan/read", act: queries.readPlan },
   { method: "POST", path: "/workers/*/heartbeat", act: commands.beat },
   { method: "POST", path: "/workers/*/leave", act: commands.leave },
   { method: "GET", path: "/tell/*", act: queries.tell },
-  {
-    method: "POST",
-    path: "/cells/shift",
-    act: async (call) => {
-      let asked: Rec;
-      try {
-        const value = parseJson(call.body);
-        asked = isRec(value) ? value : {};
-        text(asked, "cell");
-      } catch {
-        return { outcome: "wrong", body: { problem: "cell must be text" } };
-      }
-      return (await shift(text(asked, "cell"), asked["why"] === "practice" ? "practice" : "by hand")) ? { outcome: "taken" } : { outcome: "noQuorum" };
-    },
-  },
+  { method: "POST", path: "/cells/shift", act: (call) => shiftCell(orders, call) },
+  { method: "POST", path: "/rollouts/*/clear", act: (call) => clearRollout(orders, call) },
 ];
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -1,4 +1,5 @@
 import { FaultCounts } from "../inspection/counts.js";
+import { RolloutCounts } from "../inspection/rollout-counts.js";
 import { Board } from "../signalling/board.js";
 import { Feeder, type Crew } from "../signalling/feeder.js";
 import { Switchboard } from "../signalling/switchboard.js";
@@ -13,10 +14,11 @@
 import { MS, SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import { serveCalls } from "./dispatch.js";
-import type { Running } from "./signalbox.js";
+import type { Running } from "./running.js";
 
 const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
 const REPORT_US = 2 * SECOND;
+const ROLLOUT_REPORT_US = 500 * MS;
 /** How long after SIGTERM new connections may still come, until everyone has seen that this node is not ready. */
 const NOTICE_US = 2_800 * MS;
 const END_MARGIN_US = 400 * MS;
@@ -27,7 +29,9 @@
   const board = new Board(clock);
   const table = new RouteTable();
   const yard = new Yard(clock);
-  const counts = new FaultCounts(`${process.pid}-${clock.nowUs()}-${Math.random()}`);
+  const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
+  const counts = new FaultCounts(life);
+  const rollouts = new RolloutCounts(life);
   const allowances = new Map<string, Allowance>();
   const tallies = new Map<string, number>();
   let crew: Crew = { pointsmen: 1, cells: {} };
@@ -52,11 +56,13 @@
     yard,
     allowanceOf,
     connectionShare,
+    otherNodes: () => ({ here: Math.max(0, (crew.cells[settings.cell] ?? 1) - 1), everywhere: Math.max(0, crew.pointsmen - 1) }),
     countFault: counts.count,
     tally: (route, kind, outcome) => {
       const key = `${route}|${kind}|${settings.cell}|${outcome}`;
       tallies.set(key, (tallies.get(key) ?? 0) + 1);
     },
+    countRollout: (route, service, stratum, outcome) => rollouts.count(route.name, route.version, service, `${settings.cell}|${stratum}`, outcome),
     random: Math.random,
   });
 
@@ -83,6 +89,7 @@
   board.events.on("changed", (facts) => {
     table.take(facts);
     yard.take(facts);
+    rollouts.keepOnly(table.isInForce);
     front.takeLimits();
     front.wake();
   });
@@ -118,7 +125,7 @@
       act: async () => ({
         outcome: "taken",
         body: {
-          workers: yard.all().map((worker) => ({ id: worker.id, service: worker.service, cell: worker.cell, state: worker.state, usage: worker.usage(), ejected: yard.isEjected(worker) })),
+          workers: yard.all().map((worker) => ({ id: worker.id, service: worker.service, cell: worker.cell, state: worker.state, usage: worker.usage(0), ejected: yard.isEjected(worker) })),
         },
       }),
     },
@@ -126,6 +133,10 @@
   await front.listen(settings.front);
   await relay.listen(settings.ip, settings.relayPort);
   void taker.run();
+  const rolloutReport = clock.every(ROLLOUT_REPORT_US, () => {
+    const message = rollouts.takeReport();
+    if (message) taker.report(message);
+  });
   const report = clock.every(REPORT_US, () => {
     const message = counts.takeReport();
     if (message) taker.report(message);
@@ -147,6 +158,7 @@
         front.closeIdle();
       }
       report.stop();
+      rolloutReport.stop();
       taker.stop();
       relay.close();
       ready.close();
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -1,33 +1,45 @@
+import { join } from "node:path";
 import { Archive } from "../interlocking/archive.js";
 import { isPlanKey } from "../interlocking/check.js";
 import { Duty } from "../interlocking/duty.js";
 import { Ledger, membersOf, ROSTER_KEY, STORE_WAIT_US } from "../interlocking/ledger.js";
 import { makeRegister, Registers, type Register } from "../interlocking/register.js";
 import { Inspector, NO_DECISIONS, readDecisions, type Decisions } from "../inspection/inspector.js";
+import { TRIAL_TERMS } from "../inspection/evidence.js";
 import { TERMS } from "../inspection/ranking.js";
-import { Board, EJECTIONS_KEY, PLAN_PREFIX, type NewFact } from "../signalling/board.js";
+import { NO_ROLLOUTS, readRolloutState, RolloutInspector, type ClearMishap, type RolloutState } from "../inspection/rollout-inspector.js";
+import { SplitRoutes } from "../inspection/split-routes.js";
+import { Board, EJECTIONS_KEY, PLAN_PREFIX, ROLLOUTS_KEY, WORKER_PREFIX, type NewFact } from "../signalling/board.js";
 import { Colleagues } from "../signalling/colleagues.js";
 import { Feeder } from "../signalling/feeder.js";
 import { readSharedBeat, Registry, type Beat } from "../signalling/registry.js";
 import { Sessions } from "../signalling/sessions.js";
 import { Switchboard } from "../signalling/switchboard.js";
-import type { Clock } from "../trackbed/clock.js";
+import type { Clock, Pulse } from "../trackbed/clock.js";
 import { logFor } from "../trackbed/log.js";
+import type { OutcomeName } from "../trackbed/outcomes.js";
 import type { Settings } from "../trackbed/settings.js";
 import { flag, list, parseJson, text, asRec } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import { Commands, controlEntries, Queries } from "./control.js";
 import { serveCalls } from "./dispatch.js";
+import type { Running } from "./running.js";
 
 const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
 const SWEEP_US = 1 * SECOND;
+const REMEMBER_US = 500 * MS;
 const EJECTIONS_REGISTER = "duty/ejections";
+const ROLLOUTS_REGISTER = "duty/rollouts";
 const EPOCH_ROOM = 1_000_000;
+const ROUTE_PREFIX = "route/";
 
-export interface Running {
-  readonly stop: () => Promise<void>;
-}
+const CLEAR_OUTCOMES: Readonly<Record<ClearMishap, OutcomeName>> = {
+  "unknown-route": "unknownRollout",
+  "stale-version": "staleVersion",
+  "not-stopped": "notStopped",
+  "not-published": "noQuorum",
+};
 
 const factOf = (register: Register): NewFact => ({
   key: PLAN_PREFIX + register.key,
@@ -68,6 +80,23 @@
     patienceUs: 1_500 * MS,
   });
 
+  /** The workers last known, so that after a loss of every process they need not all be heard again first. */
+  const memory = new Archive(settings.dataFolder === "" ? "" : join(settings.dataFolder, "workers"), () =>
+    registry.all().filter((beat) => beat.state === "ready").map((beat) => makeRegister(WORKER_PREFIX + beat.id, beat.callCount, JSON.stringify(beat))),
+  );
+  const remember = async (): Promise<void> => {
+    const known = (await memory.load()) ?? [];
+    registry.recall(known.map((register) => readSharedBeat(parseJson(register.body))));
+  };
+
+  let remembering: Pulse | undefined;
+  const rememberSoon = (): void => {
+    remembering ??= clock.after(REMEMBER_US, () => {
+      remembering = undefined;
+      void memory.keep();
+    });
+  };
+
   const isAdrift = (): boolean => {
     const members = ledger.members();
     const standing = members.filter((id) => colleagues.stands(id) && (id !== self || ledger.isCounting));
@@ -78,6 +107,12 @@
   const isFit = () => hasMended && !isAdrift();
   const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes });
 
+  /** Makes what the duty's holder decided durable under its epoch. */
+  const publish = async (key: string, wanted: unknown): Promise<boolean> => {
+    const epoch = duty.epoch();
+    const version = Math.max((ledger.get(key)?.version ?? 0) + 1, epoch * EPOCH_ROOM);
+    return (await ledger.write([makeRegister(key, version, JSON.stringify(wanted))], epoch)).isOk;
+  };
   const decisions = (): Decisions => {
     const register = ledger.get(EJECTIONS_REGISTER);
     return register ? readDecisions(parseJson(register.body)) : NO_DECISIONS;
@@ -91,12 +126,24 @@
     workers: () =>
       registry.all().filter((beat) => beat.state !== "gone").map((beat) => ({ id: beat.id, service: beat.service, cell: beat.cell, missing: beat.state === "missing" })),
     decisions,
-    publish: async (wanted) => {
-      const epoch = duty.epoch();
-      const last = ledger.get(EJECTIONS_REGISTER)?.version ?? 0;
-      const version = Math.max(last + 1, epoch * EPOCH_ROOM);
-      return (await ledger.write([makeRegister(EJECTIONS_REGISTER, version, JSON.stringify(wanted))], epoch)).isOk;
-    },
+    publish: (wanted) => publish(EJECTIONS_REGISTER, wanted),
+  });
+  const splitRoutes = new SplitRoutes();
+  const rolloutState = (): RolloutState => {
+    const register = ledger.get(ROLLOUTS_REGISTER);
+    return register ? readRolloutState(parseJson(register.body)) : NO_ROLLOUTS;
+  };
+  const rollouts = new RolloutInspector({
+    clock,
+    log: logFor("rollout"),
+    terms: TRIAL_TERMS,
+    random: Math.random,
+    isHolder: duty.isHolder,
+    epoch: duty.epoch,
+    splitRoutes: splitRoutes.all,
+    previousMain: splitRoutes.mainBefore,
+    state: rolloutState,
+    publish: (wanted) => publish(ROLLOUTS_REGISTER, wanted),
   });
 
   const share = async (beats: readonly Beat[], waits: boolean): Promise<boolean> => {
@@ -129,6 +176,23 @@
     return reply !== undefined && flag(reply, "yes");
   };
 
+  const clearHere = async (route: string, version: number | undefined): Promise<OutcomeName> => {
+    const mishap = await rollouts.clear(route, version);
+    return mishap === undefined ? "taken" : CLEAR_OUTCOMES[mishap];
+  };
+  const clearRollout = async (route: string, version: number | undefined): Promise<OutcomeName> => {
+    if (duty.isHolder()) return clearHere(route, version);
+    const reply = await colleagues.ask(duty.holder(), { kind: "clear", route, ...(version === undefined ? {} : { version }) }, STORE_WAIT_US);
+    const outcome = ["taken" as const, ...Object.values(CLEAR_OUTCOMES)].find((name) => name === reply?.["outcome"]);
+    return outcome ?? "noQuorum";
+  };
+  const tellers: Readonly<Record<string, () => unknown>> = { inspection: inspector.explain, rollouts: rollouts.explain };
+  /** What only the holder knows is asked of the holder. */
+  const tellOfHolder = async (what: string): Promise<unknown> => {
+    if (duty.isHolder()) return tellers[what]?.();
+    return (await colleagues.ask(duty.holder(), { kind: "tell", what }, STORE_WAIT_US))?.["told"] ?? tellers[what]?.();
+  };
+
   /** What a colleague's connection brings; what it asks is answered on the same connection. */
   const answerColleague = async (message: Message): Promise<Message | undefined> => {
     switch (message.kind) {
@@ -142,6 +206,10 @@
         return duty.answer(message);
       case "shift":
         return { kind: "done", yes: await shiftHere(text(message, "cell"), text(message, "why")) };
+      case "clear":
+        return { kind: "done", outcome: await clearHere(text(message, "route"), typeof message["version"] === "number" ? message["version"] : undefined) };
+      case "tell":
+        return { kind: "done", told: tellers[text(message, "what")]?.() };
       case "beats":
         takeBeats(message);
         return { kind: "took" };
@@ -151,6 +219,9 @@
       case "faults":
         inspector.take(message);
         return undefined;
+      case "rollout":
+        rollouts.take(message);
+        return undefined;
       default:
         return undefined;
     }
@@ -176,6 +247,11 @@
     const ejections = settled.find((register) => register.key === EJECTIONS_REGISTER);
     board.post(facts);
     if (ejections) board.post([{ key: EJECTIONS_KEY, version: ejections.version, tie: ejections.digest, body: asRec(parseJson(ejections.body)) }]);
+    const stops = settled.find((register) => register.key === ROLLOUTS_REGISTER);
+    if (stops) board.post([{ key: ROLLOUTS_KEY, version: stops.version, tie: stops.digest, body: asRec(parseJson(stops.body)) }]);
+    settled
+      .filter((register) => register.key.startsWith(ROUTE_PREFIX))
+      .forEach((register) => splitRoutes.take(register.key.slice(ROUTE_PREFIX.length), register.version, register.body));
     const roster = settled.find((register) => register.key === ROSTER_KEY);
     if (roster) colleagues.learn(membersOf(roster));
   });
@@ -185,8 +261,8 @@
   });
   sessions.events.on("changed", tellCrew);
   sessions.events.on("report", (message) => {
-    if (message.kind !== "faults") return;
-    if (duty.isHolder()) inspector.take(message);
+    if (message.kind !== "faults" && message.kind !== "rollout") return;
+    if (duty.isHolder()) (message.kind === "faults" ? inspector : rollouts).take(message);
     else void colleagues.ask(duty.holder(), message, 0);
   });
   colleagues.events.on("up", (id) => {
@@ -219,6 +295,10 @@
   };
 
   await ledger.start(settings.firstRun);
+  await remember();
+  board.events.on("changed", (facts) => {
+    if (facts.some((fact) => fact.key.startsWith(WORKER_PREFIX))) rememberSoon();
+  });
   await switchboard.listen(settings.ip, settings.signalPort);
   colleagues.learn([...settings.seedNodes, ...ledger.members()]);
   const commands = new Commands({
@@ -235,9 +315,10 @@
     nodes: sessions.nodes,
     workers: registry.all,
     duty: () => ({ holder: duty.holder(), epoch: duty.epoch(), here: duty.isHolder(), roster: ledger.members(), counting: ledger.isCounting }),
-    inspection: inspector.explain,
+    inspection: () => tellOfHolder("inspection"),
+    rollouts: () => tellOfHolder("rollouts"),
   });
-  const server = await serveCalls(settings.control, controlEntries(commands, queries, shift));
+  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout }));
   const early = clock.every(100 * MS, () => {
     if (hasMended) early.stop();
     else void sweep();
@@ -245,12 +326,14 @@
   const pulse = clock.every(SWEEP_US, round);
   duty.start();
   inspector.start();
+  rollouts.start();
   log.info(`Up at ${self}.`);
 
   return {
     stop: async () => {
       log.info("Leaving.");
       inspector.stop();
+      rollouts.stop();
       await duty.handOver();
       pulse.stop();
       server.close();
--- /dev/null
+++ b/src/programs/stationmaster.ts
@@ -0,0 +1,150 @@
+import { readFile } from "node:fs/promises";
+import { request } from "node:http";
+import type { Command } from "commander";
+import { err, ok, type Result } from "true-myth/result";
+import { isRec, parseJson, type Rec } from "../trackbed/shape.js";
+
+/** Exit codes: 0 done, 1 refused by the system, 2 wrong input, 3 nobody reached. */
+export type OrderMishap = { readonly code: 1 | 2 | 3; readonly sentence: string };
+
+const WAIT_MS = 5_000;
+
+const ask = (address: string, method: string, path: string, body: string): Promise<Result<Rec, OrderMishap>> =>
+  new Promise((resolve) => {
+    const call = request(`http://${address}${path}`, { method, timeout: WAIT_MS, headers: { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) } }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("error", () => resolve(err({ code: 3, sentence: `${address} broke off` })));
+      response.on("end", () => {
+        const told = readTold(Buffer.concat(chunks).toString());
+        const status = response.statusCode ?? 0;
+        if (status === 200) resolve(ok(told));
+        else resolve(err({ code: status >= 500 ? 3 : 1, sentence: `${address} says ${status}: ${cell(told["problem"] ?? "no reason given")}` }));
+      });
+    });
+    call.on("timeout", () => call.destroy());
+    call.on("error", () => resolve(err({ code: 3, sentence: `${address} cannot be reached` })));
+    call.end(body);
+  });
+
+const cell = (value: unknown): string => (typeof value === "string" ? value : value === undefined ? "" : JSON.stringify(value));
+
+const readTold = (body: string): Rec => {
+  try {
+    const told = parseJson(body);
+    return isRec(told) ? told : {};
+  } catch {
+    return {};
+  }
+};
+
+/** Asks one signalbox after the other, until one of them takes the call or refuses it for good. */
+const askAny = async (boxes: readonly string[], method: string, path: string, body = ""): Promise<Result<Rec, OrderMishap>> => {
+  let last: Result<Rec, OrderMishap> = err({ code: 2, sentence: "no signalbox is named; give --box or set YEWREEL_BOXES" });
+  for (const box of boxes) {
+    last = await ask(box, method, path, body);
+    if (last.isOk || last.error.code !== 3) return last;
+  }
+  return last;
+};
+
+/** Rows as a table, with the columns that any of them has. */
+const asTable = (rows: readonly Rec[]): string => {
+  if (rows.length === 0) return "none";
+  const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
+  const widths = columns.map((column) => Math.max(column.length, ...rows.map((row) => cell(row[column]).length)));
+  const line = (values: readonly string[]) => values.map((value, at) => value.padEnd(widths[at] ?? 0)).join("  ").trimEnd();
+  return [line(columns), ...rows.map((row) => line(columns.map((column) => cell(row[column]))))].join("\n");
+};
+
+const rowsOf = (value: unknown): readonly Rec[] => {
+  if (Array.isArray(value)) return value.filter(isRec);
+  return isRec(value) ? Object.entries(value).map(([what, is]) => ({ what, is })) : [];
+};
+
+interface Common {
+  readonly box?: readonly string[];
+  readonly json?: boolean;
+}
+
+const boxesOf = (common: Common): readonly string[] => common.box ?? (process.env["YEWREEL_BOXES"] ?? "").split(",").filter((box) => box !== "");
+
+const finish = (result: Result<Rec, OrderMishap>, show: (told: Rec) => string): void => {
+  if (result.isOk) {
+    process.stdout.write(`${show(result.value)}\n`);
+    return;
+  }
+  process.stderr.write(`stationmaster: ${result.error.sentence}.\n`);
+  process.exitCode = result.error.code;
+};
+
+/** A call that the operator's plan file stands for, or a plain sentence on what is wrong with the file. */
+const readPlanFile = async (path: string): Promise<Result<string, OrderMishap>> => {
+  try {
+    const body = await readFile(path, "utf8");
+    const plan = parseJson(body);
+    if (!isRec(plan)) return err({ code: 2, sentence: `${path} holds no JSON table` });
+    return ok(plan["putItems"] === undefined && plan["remove"] === undefined ? JSON.stringify({ putItems: plan, remove: { routes: [] } }) : body);
+  } catch (mishap) {
+    return err({ code: 2, sentence: `${path} cannot be read: ${mishap instanceof Error ? mishap.message : "unknown"}` });
+  }
+};
+
+const QUERIES: Readonly<Record<string, string>> = {
+  nodes: "the pointsmen with a session",
+  workers: "the workers, as their beats tell them",
+  duty: "who holds the duty, its epoch, and the roster",
+  inspection: "faults by worker, ejections and the shift, with what led to them",
+};
+
+/** The operator's command line. Queries take --json; commands answer with one line. */
+export const addStationmaster = (cli: Command): void => {
+  const station = cli.command("stationmaster").description("the operator's command line: talks to any signalbox");
+  const common = (command: Command): Command => command.option("-b, --box <address...>", "signalboxes to ask, as ip:port (or YEWREEL_BOXES, comma-separated)");
+  const query = (command: Command): Command => common(command).option("--json", "print JSON");
+  const show = (options: Common, field: string) => (told: Rec) => (options.json === true ? JSON.stringify(told[field] ?? told, undefined, 2) : asTable(rowsOf(told[field] ?? told)));
+
+  common(station.command("apply <file>").description("apply a plan file: the operator's call, or the items it would put")).action(async (file: string, options: Common) => {
+    const body = await readPlanFile(file);
+    if (body.isErr) return finish(err(body.error), String);
+    finish(await askAny(boxesOf(options), "POST", "/plan/change", body.value), () => "Taken.");
+  });
+  common(station.command("read").description("print the plan that stands, as JSON")).action(async (options: Common) => {
+    finish(await askAny(boxesOf(options), "GET", "/plan/read"), (told) => JSON.stringify(told, undefined, 2));
+  });
+  Object.entries(QUERIES).forEach(([name, description]) => {
+    query(station.command(name).description(description)).action(async (options: Common) => {
+      finish(await askAny(boxesOf(options), "GET", `/tell/${name}`), show(options, name));
+    });
+  });
+  const shift = (command: Command, why: string, done: string) =>
+    common(command).action(async (cellName: string, options: Common) => {
+      finish(await askAny(boxesOf(options), "POST", "/cells/shift", JSON.stringify({ cell: cellName, why })), () => done);
+    });
+  shift(station.command("shift <cell>").description("shift traffic away from a cell, by hand"), "by hand", "Shifted.");
+  shift(station.command("practise <cell>").description("start a practice shift"), "practice", "Practice begun.");
+  common(station.command("unshift").description("end the shift")).action(async (options: Common) => {
+    finish(await askAny(boxesOf(options), "POST", "/cells/shift", JSON.stringify({ cell: "" })), () => "Shifted back.");
+  });
+
+  const rollout = station.command("rollout").description("the comparison of route versions that split their traffic");
+  const rolloutRows = (told: Rec): readonly Rec[] => (isRec(told["rollouts"]) ? rowsOf(told["rollouts"]["rollouts"]) : []);
+  query(rollout.command("list").description("every candidate with its verdict")).action(async (options: Common) => {
+    const brief = (told: Rec) =>
+      rolloutRows(told).map(({ route, version, candidate, baseline, verdict, afterMs, reason }) => ({ route, version, candidate, baseline, verdict, afterMs, reason }));
+    finish(await askAny(boxesOf(options), "GET", "/tell/rollouts"), (told) => (options.json === true ? JSON.stringify(rolloutRows(told), undefined, 2) : asTable(brief(told))));
+  });
+  query(rollout.command("show <route>").description("counts, difference, bounds and reason of one route")).action(async (route: string, options: Common) => {
+    const told = await askAny(boxesOf(options), "GET", "/tell/rollouts");
+    const rows = told.isOk ? rolloutRows(told.value).filter((row) => row["route"] === route) : [];
+    if (told.isOk && rows.length === 0) return finish(err({ code: 1, sentence: `${route} is no route that splits its traffic` }), String);
+    finish(told, () => (options.json === true ? JSON.stringify(rows, undefined, 2) : rows.map((row) => asTable(rowsOf(row))).join("\n\n")));
+  });
+  common(rollout.command("clear <route>").description("lift a stop; the comparison begins anew").option("--version-in-force <number>", "only if this version is in force")).action(
+    async (route: string, options: Common & { readonly versionInForce?: string }) => {
+      const version = options.versionInForce === undefined ? undefined : Number(options.versionInForce);
+      if (version !== undefined && !Number.isSafeInteger(version)) return finish(err({ code: 2, sentence: "the version must be a whole number" }), String);
+      finish(await askAny(boxesOf(options), "POST", `/rollouts/${encodeURIComponent(route)}/clear`, JSON.stringify(version === undefined ? {} : { version })), () => "Cleared.");
+    },
+  );
+};
--- a/src/signalling/board.ts
+++ b/src/signalling/board.ts
@@ -65,3 +65,4 @@
 export const WORKER_PREFIX = "worker/";
 export const PLAN_PREFIX = "plan/";
 export const EJECTIONS_KEY = "ejections";
+export const ROLLOUTS_KEY = "rollouts";
--- a/src/signalling/colleagues.ts
+++ b/src/signalling/colleagues.ts
@@ -43,7 +43,9 @@
   };
 
   readonly learn = (ids: readonly string[]): void => {
-    ids.filter((id) => id !== this.options.self && id !== "" && !this.links.has(id)).forEach(this.open);
+    new Set(ids).forEach((id) => {
+      if (id !== this.options.self && id !== "" && !this.links.has(id)) this.open(id);
+    });
   };
 
   readonly forget = (id: string): void => {
--- a/src/signalling/registry.ts
+++ b/src/signalling/registry.ts
@@ -80,6 +80,9 @@
 
   readonly get = (id: string): Beat | undefined => this.entries.get(id)?.beat;
 
+  /** Takes up workers known before this start; those that are not heard soon go missing like any other. */
+  readonly recall = (beats: readonly Beat[]): void => beats.forEach((beat) => this.take({ ...beat, state: "ready", warmUs: 0 }));
+
   /** Takes a beat, heard here or shared; false if it is old. */
   readonly take = (beat: Beat, ageUs = 0): boolean => {
     const nowUs = this.clock.nowUs() - ageUs;
--- a/src/traction/call.ts
+++ b/src/traction/call.ts
@@ -29,7 +29,7 @@
 export type CallVerdict =
   | { readonly kind: "answered"; readonly answer: Answer }
   /** The worker says that it did not run the request, or no byte of the request was sent. */
-  | { readonly kind: "not-run"; readonly why: "full" | "other-worker" | "unreachable"; readonly answer: Answer | undefined }
+  | { readonly kind: "not-run"; readonly why: "full" | "other-worker" | "refused" | "unreachable"; readonly answer: Answer | undefined }
   /** It may have run: a broken answer, another request's answer, an answer without its seal, a reset. */
   | { readonly kind: "lost"; readonly why: string }
   | { readonly kind: "cancelled" };
@@ -159,7 +159,7 @@
     }
     if (this.over) return;
     if (this.started) this.finish(false, false, { kind: "lost", why: mishap.message });
-    else this.finish(false, false, { kind: "not-run", why: "unreachable", answer: undefined });
+    else this.finish(false, false, { kind: "not-run", why: isRefusal(mishap) ? "refused" : "unreachable", answer: undefined });
   };
 
   private readonly body = (): Buffer => (this.chunks.length === 1 ? (this.chunks[0] ?? EMPTY) : Buffer.concat(this.chunks));
@@ -191,6 +191,9 @@
   };
 }
 
+/** The worker's own machine said no, as against silence or a path that is not there. */
+const isRefusal = (mishap: Error): boolean => "code" in mishap && (mishap.code === "ECONNREFUSED" || mishap.code === "ECONNRESET" || mishap.code === "UND_ERR_SOCKET");
+
 const METHODS: readonly Dispatcher.HttpMethod[] = ["GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "TRACE", "PATCH"];
 const methodOf = (method: string): Dispatcher.HttpMethod => {
   const known = METHODS.find((candidate) => candidate === method);
--- a/src/traction/choose.ts
+++ b/src/traction/choose.ts
@@ -1,4 +1,3 @@
-import { MS } from "../trackbed/span.js";
 import type { Worker, Yard } from "./yard.js";
 
 export interface ChooserOptions {
@@ -7,34 +6,38 @@
   readonly random: () => number;
   /** How many connections this node may hold to one worker of the service. */
   readonly connectionShare: (service: string) => number;
+  /** How many other nodes choose among the workers of this cell, and among all. */
+  readonly otherNodes: () => { readonly here: number; readonly everywhere: number };
 }
 
-/** A call to another cell costs this much more, in time and in bytes between cells. */
-const FAR_US = 8 * MS;
 /** Beyond this many calls for each slot a worker is left alone, since a full one resets connections. */
 const FULL_AT = 2;
+/** A call to another cell must be quicker by this part of the aim: it costs time and bytes between cells. */
+const FAR_PART = 5;
 
-/** Own cell first, two choices by usage; other cells once the own one would keep the call waiting. */
+/** Own cell first, two choices by usage; another cell where that is plainly quicker or the own one has no room. */
 export class Chooser {
   constructor(private readonly options: ChooserOptions) {}
 
-  readonly choose = (service: string, tried: ReadonlySet<string>): Worker | undefined => {
+  readonly choose = (service: string, tried: ReadonlySet<string>, aimUs: number): Worker | undefined => {
     const { yard, cell, connectionShare } = this.options;
     const share = connectionShare(service);
     const usable = yard
       .of(service)
-      .filter((worker) => worker.state === "ready" && !tried.has(worker.id) && worker.hasRoom(share) && worker.usage() < worker.capacity * FULL_AT);
+      .filter((worker) => worker.state === "ready" && !tried.has(worker.id) && worker.hasRoom(share) && worker.usage(this.othersOf(worker)) < worker.capacity * FULL_AT);
     const wanted = usable.filter((worker) => !worker.isShunned() && !yard.isEjected(worker));
-    const near = wanted.filter((worker) => worker.cell === cell && worker.cell !== yard.shiftedCell);
-    const far = wanted.filter((worker) => worker.cell !== cell && worker.cell !== yard.shiftedCell);
-    const nearest = this.better(near);
-    if (nearest && nearest.usage() < nearest.capacity) return nearest;
-    const farther = this.better(far);
-    if (nearest && farther) return this.costUs(nearest) <= this.costUs(farther) ? nearest : farther;
-    return nearest ?? farther ?? this.better(wanted) ?? this.better(usable.filter((worker) => !worker.isShunned()));
+    const near = this.better(wanted.filter((worker) => worker.cell === cell && worker.cell !== yard.shiftedCell));
+    const far = this.better(wanted.filter((worker) => worker.cell !== cell && worker.cell !== yard.shiftedCell));
+    if (near && far) return this.costUs(near) <= this.costUs(far) + aimUs / FAR_PART ? near : far;
+    return near ?? far ?? this.better(wanted) ?? this.better(usable.filter((worker) => !worker.isShunned()));
   };
 
-  private readonly costUs = (worker: Worker): number => worker.guessUs() + (worker.cell === this.options.cell ? 0 : FAR_US);
+  private readonly othersOf = (worker: Worker): number => {
+    const { here, everywhere } = this.options.otherNodes();
+    return worker.cell === this.options.cell ? here : everywhere;
+  };
+
+  private readonly costUs = (worker: Worker): number => worker.guessUs(this.othersOf(worker));
 
   /** The better of two drawn at random. */
   private readonly better = (workers: readonly Worker[]): Worker | undefined => {
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -7,7 +7,8 @@
 import { splitAddress } from "../trackbed/settings.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import { WorkerCall, type Answer, type CallVerdict, type Calling } from "./call.js";
-import { Chooser } from "./choose.js";
+import type { RolloutOutcome } from "../inspection/rollout-counts.js";
+import { Chooser, type ChooserOptions } from "./choose.js";
 import { Gate } from "./gate.js";
 import { EXPECT_WORKER, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
 import type { Route, RouteTable } from "./routes.js";
@@ -24,8 +25,11 @@
   readonly yard: Yard;
   readonly allowanceOf: (service: string) => Allowance;
   readonly connectionShare: (service: string) => number;
+  readonly otherNodes: ChooserOptions["otherNodes"];
   readonly countFault: (worker: string, isFault: boolean) => void;
   readonly tally: (route: string, kind: string, outcome: string) => void;
+  /** Counts an outcome of a route that sends to more than one service. */
+  readonly countRollout: (route: Route, service: string, stratum: string, outcome: RolloutOutcome) => void;
   readonly random: () => number;
 }
 
@@ -51,9 +55,9 @@
   private leaving = false;
 
   constructor(private readonly options: FrontOptions) {
-    const { yard, cell, random, connectionShare, clock } = options;
-    this.chooser = new Chooser({ yard, cell, random, connectionShare });
-    this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried));
+    const { yard, cell, random, connectionShare, otherNodes, clock } = options;
+    this.chooser = new Chooser({ yard, cell, random, connectionShare, otherNodes });
+    this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0));
     this.reading = new Stage(MOST_READING, MOST_READING, this.read);
     this.carrying = new Stage(MOST_CARRIED, MOST_CARRIED, this.carry, (trip) => trip.route?.rank ?? 0);
     const app = express();
@@ -123,6 +127,8 @@
       calls: new Set(),
       sends: 0,
       mayHaveRun: false,
+      linkMishap: false,
+      stratum: "near|warm",
       over: false,
       onOver: [],
     };
@@ -185,7 +191,7 @@
     const route = table.find(host, path);
     if (!route) return this.refuse(trip, "unknownRoute");
     trip.route = route;
-    trip.service = drawService(route, random());
+    trip.service = table.unlessStopped(route, drawService(route, random()));
     trip.budgetUs = Math.min(trip.budgetUs, trip.arrivedUs + route.giveUpUs);
     allowanceOf(trip.service).count();
     if (!this.carrying.offer(trip)) this.refuse(trip, "full");
@@ -227,7 +233,7 @@
       if (early) return early;
       if (trip.over) return { kind: "cancelled" };
       if (!worker.isSilent() || trip.sends >= route.tries || !isHeldBody(trip)) continue;
-      const other = this.chooser.choose(trip.service, trip.tried);
+      const other = this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0);
       if (!other || !allowanceOf(trip.service).spend()) continue;
       const second = this.start(trip, other);
       const [quick, slow] = await Promise.race([first.verdict.then(() => [first, second] as const), second.verdict.then(() => [second, first] as const)]);
@@ -246,6 +252,7 @@
     const length = trip.req.headers["content-length"];
     if (!isHeldBody(trip) && length !== undefined) heads.push("Content-Length", length);
     const call = new WorkerCall(worker, { method: trip.req.method ?? "GET", path: trip.req.url ?? "/", heads, body: trip.body, tryId: trip.tryId }, clock.nowUs);
+    if (trip.sends === 0) trip.stratum = `${worker.cell === this.options.cell ? "near" : "far"}|${clock.nowUs() < worker.warmUntilUs ? "cold" : "warm"}`;
     trip.tried.add(worker.id);
     trip.sends += 1;
     trip.calls.add(call);
@@ -255,9 +262,11 @@
         trip.mayHaveRun = true;
         worker.shun();
       }
-      if (verdict.kind === "not-run" && verdict.why === "unreachable") worker.shun();
+      const isOut = verdict.kind === "not-run" && (verdict.why === "unreachable" || verdict.why === "refused");
+      if (isOut) worker.shun();
+      if (verdict.kind === "not-run" && verdict.why === "unreachable") trip.linkMishap = true;
       if (verdict.kind === "not-run" && verdict.why === "other-worker") this.options.yard.misdirected(worker);
-      if (verdict.kind !== "cancelled") countFault(worker.id, verdict.kind === "lost" || (verdict.kind === "not-run" && verdict.why === "unreachable"));
+      if (verdict.kind !== "cancelled") countFault(worker.id, verdict.kind === "lost" || isOut);
       this.gate.wake();
     });
     return call;
@@ -282,6 +291,8 @@
     const heads = passOn(answer.heads, answer.rest ? NONE : CONTENT_LENGTH);
     if (!answer.rest && trip.req.method !== "HEAD") heads.push("Content-Length", String(answer.start.length));
     this.count(trip, answer.status < 400 ? "served" : String(answer.status));
+    const isInTime = this.options.clock.nowUs() - trip.arrivedUs <= (trip.route?.aimUs ?? 0);
+    this.countSplit(trip, answer.status >= 500 ? "lost" : isInTime ? "inTime" : "late");
     this.markClosing(trip, false);
     res.writeHead(answer.status, heads);
     trip.over = true;
@@ -307,6 +318,7 @@
     if (trip.over || res.headersSent) return;
     const outcome = OUTCOMES[name];
     this.count(trip, name);
+    this.countSplit(trip, trip.mayHaveRun ? (route?.isSafe ? "lost" : "doubled") : trip.linkMishap ? "own" : "lost");
     this.markClosing(trip, outcome.closes);
     const body = JSON.stringify({ problem: outcome.problem });
     if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route));
@@ -326,6 +338,10 @@
     this.options.tally(trip.route?.name ?? "none", kind, outcome);
   };
 
+  private readonly countSplit = (trip: Trip, outcome: RolloutOutcome): void => {
+    if (trip.route !== undefined && trip.route.shares.length > 1) this.options.countRollout(trip.route, trip.service, trip.stratum, outcome);
+  };
+
   /** Whatever still runs for the trip is called off: it has been answered, or its caller is gone. */
   private readonly end = (trip: Trip): void => {
     trip.over = true;
--- a/src/traction/routes.ts
+++ b/src/traction/routes.ts
@@ -1,4 +1,4 @@
-import { PLAN_PREFIX, type Fact } from "../signalling/board.js";
+import { PLAN_PREFIX, ROLLOUTS_KEY, type Fact } from "../signalling/board.js";
 import { asList, asRec, parseJson, text, whole } from "../trackbed/shape.js";
 import { parseSpan, SECOND } from "../trackbed/span.js";
 
@@ -34,6 +34,8 @@
   readonly idleUs: number;
 }
 
+const stopKey = (route: string, version: number, candidate: string): string => `${route}\n${version}\n${candidate}`;
+
 const FIRST_LIMITS: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 64 * 1024 * 1024, headerWaitUs: 5 * SECOND, idleUs: 15 * SECOND };
 
 const readRoute = (body: string): Route => {
@@ -63,6 +65,8 @@
   private readonly routes = new Map<string, Route>();
   private readonly byHost = new Map<string, readonly Route[]>();
   private readonly services = new Map<string, Service>();
+  /** Of a route's version, by its name, version and candidate: the service that a stop gives the share to. */
+  private stops: ReadonlyMap<string, string> = new Map();
   private held = false;
   limits: CallerLimits = FIRST_LIMITS;
 
@@ -73,7 +77,14 @@
 
   readonly service = (name: string): Service | undefined => this.services.get(name);
 
+  /** The service itself, or the baseline where the rollout inspector stopped it for this version. */
+  readonly unlessStopped = (route: Route, service: string): string => this.stops.get(stopKey(route.name, route.version, service)) ?? service;
+
+  readonly isInForce = (name: string, version: number): boolean => this.routes.get(`route/${name}`)?.version === version;
+
   readonly take = (facts: readonly Fact[]): void => {
+    const stopped = facts.find((fact) => fact.key === ROLLOUTS_KEY);
+    if (stopped) this.takeStops(stopped);
     const hosts = new Set<string>();
     facts.filter((fact) => fact.key.startsWith(PLAN_PREFIX)).forEach((fact) => {
       this.held = true;
@@ -84,6 +95,11 @@
 
   readonly find = (host: string, path: string): Route | undefined => this.byHost.get(host)?.find((route) => path.startsWith(route.pathStart));
 
+  private readonly takeStops = (fact: Fact): void => {
+    const rows = asList(fact.body["stops"], "stops").map((value) => asRec(value, "stop"));
+    this.stops = new Map(rows.map((row) => [stopKey(text(row, "route"), whole(row, "version"), text(row, "candidate")), text(row, "baseline")]));
+  };
+
   private readonly takeItem = (fact: Fact, hosts: Set<string>): void => {
     const key = fact.key.slice(PLAN_PREFIX.length);
     const dropped = fact.body["dropped"] === true;
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -32,6 +32,10 @@
   sends: number;
   /** Set once some worker may have run it; from then on no promise may be given. */
   mayHaveRun: boolean;
+  /** Set once a worker could not be reached in a way that may be this node's own link's doing. */
+  linkMishap: boolean;
+  /** Where the first worker asked stands to this node: near or far, warm or cold. */
+  stratum: string;
   /** Set once it is answered or its caller is gone. */
   over: boolean;
   readonly onOver: (() => void)[];
--- a/src/traction/yard.ts
+++ b/src/traction/yard.ts
@@ -14,8 +14,22 @@
 const IDLE_UNTOLD_MS = 4_000;
 const SHUN_US = 1 * SECOND;
 const FIRST_GUESS_US = 50 * MS;
-const SMOOTHING = 0.1;
+/** How many calls the mean of the service stands in for, before a worker's own calls speak for themselves. */
+const PRIOR_CALLS = 3;
+const MOST_CALLS = 40;
 const TOLD_FADES_US = 600 * MS;
+const OWN_AVERAGE_US = 1 * SECOND;
+
+/** How long calls of a service take, over all its workers. */
+export class ServiceMean {
+  usuallyUs = FIRST_GUESS_US;
+  private learned = 0;
+
+  readonly learn = (tookUs: number): void => {
+    this.learned = Math.min(MOST_CALLS * 5, this.learned + 1);
+    this.usuallyUs += (tookUs - this.usuallyUs) / this.learned;
+  };
+}
 
 /** A worker as this node knows it: what the news says, and what its own calls have shown. */
 export class Worker {
@@ -31,12 +45,16 @@
   private open = 0;
   private toldOthers = 0;
   private toldUs = 0;
+  /** Invariant: the mean time of the calls counted, of which at most MOST_CALLS weigh, and the prior is one part. */
   private typicalUs = 0;
+  private learned = 0;
+  private averageOwn = 0;
+  private averagedUs = 0;
   private shunnedUntilUs = 0;
   private readonly waitingSince = new Set<{ readonly sinceUs: number }>();
   private heardUs = 0;
 
-  constructor(readonly id: string, private readonly clock: Clock) {}
+  constructor(readonly id: string, private readonly clock: Clock, private readonly mean: ServiceMean) {}
 
   readonly takeFact = (fact: Fact): void => {
     const address = text(fact.body, "address");
@@ -50,10 +68,21 @@
     if (this.state !== "ready") this.closeIdle();
   };
 
-  /** The usage of the worker: what it last told of others, fading, and this node's own. */
-  readonly usage = (): number => {
-    const ageUs = this.clock.nowUs() - this.toldUs;
-    return this.own + (ageUs >= TOLD_FADES_US ? 0 : this.toldOthers * (1 - ageUs / TOLD_FADES_US));
+  /**
+   * The usage of the worker: this node's own calls, and those of others, which are as many as it last told, and as that
+   * fades, as many as if each of the other nodes that would choose it used it as much as this one has of late.
+   */
+  readonly usage = (others: number): number => {
+    const fading = Math.min(1, (this.clock.nowUs() - this.toldUs) / TOLD_FADES_US);
+    return this.own + this.toldOthers * (1 - fading) + this.average() * others * fading;
+  };
+
+  private readonly average = (): number => {
+    const nowUs = this.clock.nowUs();
+    const kept = Math.exp((this.averagedUs - nowUs) / OWN_AVERAGE_US);
+    this.averageOwn = this.own + (this.averageOwn - this.own) * kept;
+    this.averagedUs = nowUs;
+    return this.averageOwn;
   };
 
   readonly tell = (running: number, waiting: number, slots: number): void => {
@@ -63,16 +92,19 @@
   };
 
   readonly learn = (tookUs: number): void => {
-    this.typicalUs = this.typicalUs === 0 ? tookUs : this.typicalUs + (tookUs - this.typicalUs) * SMOOTHING;
+    this.learned = Math.min(MOST_CALLS, this.learned + 1);
+    this.typicalUs += (tookUs - this.typicalUs) / this.learned;
+    this.mean.learn(tookUs);
   };
 
   /** How long a call sent now would take, by guess. */
-  readonly guessUs = (): number => {
-    const typicalUs = this.typicalUs || FIRST_GUESS_US;
+  readonly guessUs = (others: number): number => {
     const coldness = this.clock.nowUs() < this.warmUntilUs ? 2 : 1;
-    return typicalUs * coldness * Math.max(1, (this.usage() + 1) / this.capacity);
+    return this.usuallyUs() * coldness * Math.max(1, (this.usage(others) + 1) / this.capacity);
   };
 
+  private readonly usuallyUs = (): number => (this.typicalUs * this.learned + this.mean.usuallyUs * PRIOR_CALLS) / (this.learned + PRIOR_CALLS);
+
   /** After a mishap that shows the worker itself to be unwell, this node leaves it alone for a moment. */
   readonly shun = (): void => {
     this.shunnedUntilUs = this.clock.nowUs() + SHUN_US;
@@ -84,12 +116,13 @@
   /** Calls have waited far beyond what is usual, and nothing at all has been heard since. */
   readonly isSilent = (): boolean => {
     const nowUs = this.clock.nowUs();
-    const patienceUs = Math.max(500 * MS, 6 * this.typicalUs);
+    const patienceUs = Math.max(500 * MS, 6 * this.usuallyUs());
     for (const call of this.waitingSince) return this.heardUs < call.sinceUs && nowUs - call.sinceUs > patienceUs;
     return false;
   };
 
   readonly begin = (): { readonly sinceUs: number } => {
+    this.average();
     const call = { sinceUs: this.clock.nowUs() };
     this.waitingSince.add(call);
     this.own += 1;
@@ -98,6 +131,7 @@
 
   readonly finish = (call: { readonly sinceUs: number }, heard: boolean): void => {
     if (!this.waitingSince.delete(call)) return;
+    this.average();
     this.own -= 1;
     if (heard) this.heardUs = this.clock.nowUs();
   };
@@ -152,6 +186,7 @@
 export class Yard {
   private readonly workers = new Map<string, Worker>();
   private readonly byService = new Map<string, Worker[]>();
+  private readonly means = new Map<string, ServiceMean>();
   private ejected: ReadonlySet<string> = new Set();
   shiftedCell = "";
 
@@ -187,13 +222,19 @@
     const id = fact.key.slice(WORKER_PREFIX.length);
     if (fact.body["state"] === "gone") return this.remove(id);
     const known = this.workers.get(id);
-    const worker = known ?? new Worker(id, this.clock);
+    const worker = known ?? new Worker(id, this.clock, this.meanOf(text(fact.body, "service")));
     worker.takeFact(fact);
     if (known) return;
     this.workers.set(id, worker);
     this.byService.set(worker.service, [...this.of(worker.service), worker]);
   };
 
+  private readonly meanOf = (service: string): ServiceMean => {
+    const mean = this.means.get(service) ?? new ServiceMean();
+    this.means.set(service, mean);
+    return mean;
+  };
+
   private readonly takeDecisions = (fact: Fact): void => {
     this.ejected = new Set(list(fact.body, "ejections", (value) => text(asRec(value), "worker")));
     const shift = fact.body["shift"];
--- a/src/yewreel.ts
+++ b/src/yewreel.ts
@@ -1,8 +1,7 @@
 #!/usr/bin/env node
 import { stat } from "node:fs/promises";
 import { Command } from "commander";
-import { runPointsman } from "./programs/pointsman.js";
-import { runSignalbox, type Running } from "./programs/signalbox.js";
+import type { Running } from "./programs/running.js";
 import { SteadyClock, type Clock } from "./trackbed/clock.js";
 import { logFor, setLogLevel } from "./trackbed/log.js";
 import { readSettings, type Settings } from "./trackbed/settings.js";
@@ -36,7 +35,10 @@
   process.on("SIGHUP", () => void look());
 };
 
-const run = async (program: (settings: Settings, clock: Clock) => Promise<Running>): Promise<void> => {
+type Program = (settings: Settings, clock: Clock) => Promise<Running>;
+
+/** Each program loads only what it is made of. */
+const run = async (load: () => Promise<Program>): Promise<void> => {
   const path = process.env[SETTINGS_VARIABLE] ?? "/etc/yewreel/boot.toml";
   const read = await readSettings(path);
   if (read.isErr) {
@@ -47,6 +49,7 @@
   const log = logFor("yewreel");
   process.on("unhandledRejection", (mishap) => log.warn(`A mishap nobody took: ${mishap instanceof Error ? (mishap.stack ?? mishap.message) : String(mishap)}.`));
   const clock = new SteadyClock();
+  const program = await load();
   const running = await program(read.value, clock);
   await watchSettings(path, clock);
   let stopping = false;
@@ -60,6 +63,7 @@
 };
 
 const cli = new Command("yewreel").description("An API gateway that repairs itself and explains what it did.");
-cli.command("pointsman").description("carry callers' requests to workers (data plane)").action(() => run(runPointsman));
-cli.command("signalbox").description("hold the plan, know workers and nodes, decide (control plane)").action(() => run(runSignalbox));
+cli.command("pointsman").description("carry callers' requests to workers (data plane)").action(() => run(async () => (await import("./programs/pointsman.js")).runPointsman));
+cli.command("signalbox").description("hold the plan, know workers and nodes, decide (control plane)").action(() => run(async () => (await import("./programs/signalbox.js")).runSignalbox));
+if (process.argv[2] !== "pointsman" && process.argv[2] !== "signalbox") (await import("./programs/stationmaster.js")).addStationmaster(cli);
 await cli.parseAsync();
