--- /dev/null
+++ b/features/steps/system.ts
@@ -0,0 +1,254 @@
+import assert from "node:assert/strict";
+import { request as httpRequest } from "node:http";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { runPointsman } from "../../src/programs/pointsman.js";
+import type { Running } from "../../src/programs/running.js";
+import { runSignalbox } from "../../src/programs/signalbox.js";
+import { setLogLevel } from "../../src/trackbed/log.js";
+import type { Settings } from "../../src/trackbed/settings.js";
+import { asRec, asList, parseJson, type Rec } from "../../src/trackbed/shape.js";
+import { ManualClock, settle } from "../support/manual-clock.js";
+import { StandIn } from "../support/stand-in.js";
+
+let clock = new ManualClock();
+let base = 0;
+let boxes: Settings[] = [];
+let nodes: Settings[] = [];
+let running = new Map<string, Running>();
+let workers = new Map<string, StandIn>();
+let lastOrder = 0;
+let reply: Rec = {};
+
+const SPAN = { heartbeatUs: 1_500_000, drainUs: 2_000_000, graceUs: 1_000_000, applyUs: 2_000_000, contactUs: 3_000_000, confirmUs: 4_000_000, retryWindowUs: 10_000_000 };
+
+const settingsOf = (name: string, ip: string, cell: string, port: number): Settings => ({
+  ...SPAN,
+  name,
+  cell,
+  ip,
+  signalPort: base,
+  relayPort: base + 1,
+  seedNodes: [1, 2, 3].map((box) => `127.1.0.${box}:${base + 2}`),
+  firstRun: true,
+  dataFolder: "",
+  logLevel: "silent",
+  front: `${ip}:${port}`,
+  ready: `${ip}:${port + 1}`,
+  control: `${ip}:${base + 2}`,
+  memoryMb: 300,
+  fileHandles: 1_000,
+  withstandMachines: 1,
+  retryRatio: 0.2,
+  retrySlack: 50,
+});
+
+const call = (address: string, method: string, path: string, body = "", heads: Readonly<Record<string, string>> = {}): Promise<{ readonly status: number; readonly body: string }> =>
+  new Promise((resolve) => {
+    const request = httpRequest(`http://${address}${path}`, { method, agent: false, headers: { ...heads, "Content-Length": Buffer.byteLength(body) } }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("end", () => resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }));
+      response.on("error", () => resolve({ status: 0, body: "" }));
+    });
+    request.on("error", () => resolve({ status: 0, body: "" }));
+    request.end(body);
+  });
+
+/** Moves the clock on in small steps until the work is done. */
+const during = async <T>(work: Promise<T>, stepUs = 5_000): Promise<T> => {
+  let isDone = false;
+  const finished = work.finally(() => {
+    isDone = true;
+  });
+  for (let step = 0; step < 4_000 && !isDone; step += 1) await clock.pass(stepUs);
+  return finished;
+};
+
+const until = async (isSo: () => Promise<boolean>, what: string, seconds = 20): Promise<void> => {
+  for (let step = 0; step < seconds * 10; step += 1) {
+    if (await isSo()) return;
+    await beatAll();
+    await clock.pass(100_000);
+  }
+  assert.fail(`it never came to be that ${what}`);
+};
+
+let beats = 0;
+const beatOf = (worker: StandIn, state = "ready"): string => {
+  beats += 1;
+  const service = worker.id.startsWith("old") ? "s-old" : "s-new";
+  const cell = `c${(Number(worker.id.slice(-1)) % 3) + 1}`;
+  return JSON.stringify({ service, address: worker.address, cell, version: "v1", capacity: 3, state, warmLeft: "0ms", callCount: beats });
+};
+const liveBox = (): Settings => {
+  const box = boxes.find(({ name }) => running.has(name));
+  assert.ok(box);
+  return box;
+};
+let lastBeatUs = 0;
+const beatAll = async (): Promise<void> => {
+  if (!boxes.some(({ name }) => running.has(name)) || clock.nowUs() - lastBeatUs < 1_000_000) return;
+  lastBeatUs = clock.nowUs();
+  for (const worker of workers.values()) await during(call(liveBox().control, "POST", `/workers/${worker.id}/heartbeat`, beatOf(worker)));
+};
+
+/** Time passes while the workers go on beating. */
+const live = async (spanUs: number): Promise<void> => {
+  for (let passedUs = 0; passedUs < spanUs; passedUs += 500_000) {
+    await beatAll();
+    await clock.pass(Math.min(500_000, spanUs - passedUs));
+  }
+};
+
+const planOf = (version: number, then: Rec): string =>
+  JSON.stringify({
+    putItems: {
+      listeners: [
+        { host: "a.example", rules: [{ name: "r-unsafe", routeKind: "unsafe", target_time: "800ms", rank: 1, version, matchOn: { pathStart: "/o/" }, then: { ...then, giveUp: "2000ms", tries: 1 } }] },
+      ],
+      groups: ["s-old", "s-new"].map((name) => ({ name, statusPath: "/health", maxConnections: 60, version: 1 })),
+    },
+  });
+
+const apply = async (box: Settings, body: string): Promise<void> => {
+  let status = 0;
+  await until(async () => {
+    status = (await during(call(box.control, "POST", "/plan/change", body))).status;
+    return status === 200;
+  }, "the change is acknowledged");
+};
+
+const order = (node: Settings): Promise<{ readonly status: number; readonly body: string }> => {
+  lastOrder += 1;
+  return during(call(node.front, "POST", "/o/x", "an order", { Host: "a.example", "Yewreel-Try-Id": `order-${lastOrder}`, "Yewreel-Time-Left-Ms": "1500" }), 20_000);
+};
+
+const startNode = async (number: number): Promise<void> => {
+  const node = settingsOf(`node-${number}`, `127.2.0.${number}`, `c${(number % 3) + 1}`, base + 4);
+  nodes.push(node);
+  running.set(node.name, await runPointsman(node, clock));
+};
+
+const tellRollouts = async (): Promise<string> => (await during(call(liveBox().control, "GET", "/tell/rollouts"))).body;
+const seenBy = (prefix: string): number => [...workers].filter(([id]) => id.startsWith(prefix)).reduce((sum, [, worker]) => sum + worker.seen.length, 0);
+
+Given("3 signalboxes and 5 pointsmen in 3 cells that start for the first time", async () => {
+  setLogLevel("silent");
+  clock = new ManualClock();
+  running = new Map();
+  workers = new Map();
+  lastBeatUs = 0;
+  base = 21_000 + Math.floor(Math.random() * 30_000);
+  boxes = [1, 2, 3].map((number) => settingsOf(`box-${number}`, `127.1.0.${number}`, `c${number}`, base + 4));
+  nodes = [];
+  for (const box of boxes) running.set(box.name, await runSignalbox(box, clock));
+  for (let number = 1; number <= 5; number += 1) await startNode(number);
+  await clock.pass(3_000_000);
+});
+Given("an old and a new service with 3 workers each that beat", async () => {
+  for (const id of ["old-1", "old-2", "old-3", "new-1", "new-2", "new-3"]) {
+    const worker = new StandIn(id);
+    await worker.start();
+    workers.set(id, worker);
+  }
+  await beatAll();
+});
+Given("the operator's plan with {string} on the old service", async (name: string) => {
+  assert.equal(name, "r-unsafe");
+  await apply(liveBox(), planOf(1, { service: "s-old" }));
+});
+Given("every pointsman is ready", async () => {
+  for (const node of nodes) await until(async () => (await during(call(node.ready, "GET", "/ready"))).status === 200, `${node.name} is ready`);
+  await clock.pass(500_000);
+});
+
+When("the operator moves {string} to the new service at version {int} through box {int}", async (_name: string, version: number, number: number) => {
+  const box = boxes[number - 1];
+  assert.ok(box);
+  await apply(box, planOf(version, { service: "s-new" }));
+  await clock.pass(500_000);
+});
+When("the operator splits {string} {int} to {int} over the old and the new service at version {int}", async (_name: string, old: number, fresh: number, version: number) => {
+  await apply(liveBox(), planOf(version, { shares: [{ service: "s-old", share: old }, { service: "s-new", share: fresh }] }));
+  await live(1_500_000);
+});
+When("every signalbox ends", async () => {
+  for (const box of boxes) {
+    await during(running.get(box.name)?.stop() ?? Promise.resolve());
+    running.delete(box.name);
+  }
+});
+When("{int} seconds pass on the clock", async (seconds: number) => clock.pass(seconds * 1_000_000));
+When("worker {string} says through box {int} that it is draining", async (id: string, number: number) => {
+  const [worker, box] = [workers.get(id), boxes[number - 1]];
+  assert.ok(worker && box);
+  const answer = await during(call(box.control, "POST", `/workers/${id}/heartbeat`, beatOf(worker, "draining")));
+  assert.equal(answer.status, 200);
+  workers.forEach((one) => one.seen.splice(0));
+});
+When("the news has spread", async () => clock.pass(200_000));
+When("a sixth pointsman starts", async () => {
+  await startNode(6);
+  const node = nodes[5];
+  assert.ok(node);
+  await until(async () => (await during(call(node.ready, "GET", "/ready"))).status === 200, "the sixth is ready");
+});
+When("the new service's workers lose the answers of orders", () => {
+  workers.forEach((worker, id) => {
+    if (id.startsWith("new")) worker.manner = "resets";
+  });
+});
+When("the holder of the duty ends in order", async () => {
+  const duty = asRec(asRec(parseJson((await during(call(liveBox().control, "GET", "/tell/duty"))).body))["duty"]);
+  const holder = boxes.find((box) => box.control === duty["holder"]);
+  assert.ok(holder, "nobody holds the duty");
+  await during(running.get(holder.name)?.stop() ?? Promise.resolve());
+  running.delete(holder.name);
+  await live(3_000_000);
+});
+When("{int} orders are placed over all pointsmen", async (count: number) => {
+  for (let at = 0; at < count; at += 1) {
+    const node = nodes[at % nodes.length];
+    assert.ok(node);
+    await order(node);
+  }
+});
+When("worker {string} of another cell beats at box {int}", async (id: string, number: number) => {
+  const [worker, box] = [workers.get(id), boxes[number - 1]];
+  assert.ok(worker && box);
+  reply = asRec(parseJson((await during(call(box.control, "POST", `/workers/${id}/heartbeat`, beatOf(worker)))).body));
+});
+
+Then("every pointsman serves an order", async () => {
+  for (const node of nodes) assert.equal((await order(node)).status, 200, node.name);
+});
+Then("every pointsman sends orders to the new service", async () => {
+  workers.forEach((worker) => worker.seen.splice(0));
+  for (const node of nodes) assert.equal((await order(node)).status, 200);
+  assert.deepEqual([seenBy("old"), seenBy("new")], [0, nodes.length]);
+});
+Then("every pointsman sends orders to the old service only", async () => {
+  await clock.pass(300_000);
+  workers.forEach((worker) => worker.seen.splice(0));
+  for (const node of nodes) for (let time = 0; time < 4; time += 1) assert.equal((await order(node)).status, 200);
+  assert.deepEqual([seenBy("old"), seenBy("new")], [nodes.length * 4, 0]);
+});
+Then("no pointsman sends an order to {string}", async (id: string) => {
+  for (const node of nodes) for (let time = 0; time < 5; time += 1) assert.equal((await order(node)).status, 200);
+  assert.equal(workers.get(id)?.seen.length, 0);
+});
+Then("within {int} seconds the new service is stopped on {string}", async (seconds: number, name: string) => {
+  await until(async () => /"verdict":"stop"/.test(await tellRollouts()), "the candidate is stopped", seconds);
+  const told = asRec(asRec(parseJson(await tellRollouts()))["rollouts"]);
+  const row = asRec(asList(told["rollouts"])[0]);
+  assert.deepEqual([row["route"], row["candidate"], row["baseline"]], [name, "s-new", "s-old"]);
+});
+Then("it is told to report to the signalbox of its own cell", () => assert.equal(reply["reportTo"], boxes[2]?.control));
+
+After(async () => {
+  for (const one of running.values()) await during(one.stop(), 100_000);
+  running.clear();
+  workers.forEach((worker) => worker.stop());
+  workers.clear();
+  await settle();
+});
