--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -8,6 +8,7 @@
 import { Front } from "../../src/traction/front.js";
 import { RouteTable } from "../../src/traction/routes.js";
 import { Yard } from "../../src/traction/yard.js";
+import { reportOf, shunt, type ShuntReport } from "../../src/programs/shunter.js";
 import { silentLog } from "../../src/trackbed/log.js";
 import { ManualClock, settle } from "../support/manual-clock.js";
 import { StandIn, type Manner } from "../support/stand-in.js";
@@ -270,3 +271,19 @@
   const ids = [...raw.matchAll(/Yewreel-Try-Id: (p-\d+)/gi)].map((match) => match[1]);
   assert.deepEqual(ids, Array.from({ length: count }, (_, at) => `p-${at}`));
 });
+
+let shuntReport: ShuntReport | undefined;
+
+When("the load generator sends {int} requests a second for {int} seconds to {string}", async (ratePerS: number, seconds: number, path: string) => {
+  const load = { targets: [`127.0.0.1:${port}`], host: "a.example", path, method: path.startsWith("/unsafe") ? "POST" : "GET", body: "", ratePerS, seconds, budgetMs: 1_500 };
+  const work = shunt(load, clock).then((shunted) => {
+    shuntReport = reportOf(shunted);
+    return { status: 0, heads: {}, body: "" };
+  });
+  await during(work, 20_000);
+});
+Then("{int} outcomes of {int} are reported", (count: number, status: number) => assert.deepEqual(shuntReport?.outcomes, { [status]: count }));
+Then("{int} outcomes are reported, the slowest after its whole budget", (count: number) => {
+  assert.equal(shuntReport?.sent, count);
+  assert.ok(shuntReport.mostMs >= 1_400, `${shuntReport.mostMs} ms`);
+});
--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -104,3 +104,13 @@
     When a caller gets "/safe/x"
     Then the answer is 502
     And the workers saw 1 request in all
+
+  Scenario: The load generator sends at its moments and measures from them
+    Given a worker "w1" that answers well
+    When the load generator sends 10 requests a second for 2 seconds to "/safe/x"
+    Then 20 outcomes of 200 are reported
+
+  Scenario: The load generator does not wait for a target that stalls
+    Given a worker "w1" that stays silent
+    When the load generator sends 10 requests a second for 2 seconds to "/unsafe/x"
+    Then 20 outcomes are reported, the slowest after its whole budget
