--- a/features/steps/terms.ts
+++ b/features/steps/terms.ts
@@ -1,5 +1,8 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { parse } from "csv-parse/sync";
+import { parquetReadObjects } from "hyparquet";
+import { usageAsCsv, usageAsParquet, type UsageRow } from "../../src/programs/usage-export.js";
 import { Board } from "../../src/signalling/board.js";
 import { readBeat, Registry } from "../../src/signalling/registry.js";
 import { Allowance } from "../../src/traction/allowance.js";
@@ -110,3 +113,26 @@
   registry.leave(id);
 });
 Then("{string} is {word}", (id: string, state: string) => assert.equal(registry.get(id)?.state, state));
+
+let usage: readonly UsageRow[] = [];
+let fromCsv: unknown;
+let fromParquet: unknown;
+
+Given("usage rows of two nodes, one with a comma and a quote in its route", () => {
+  usage = [
+    { node: "n1", route: 'r,"1"', kind: "safe", cell: "c1", outcome: "served", count: 7 },
+    { node: "n2", route: "r2", kind: "unsafe", cell: "c2", outcome: "full", count: 4_000_000_000 },
+  ];
+});
+When("they are written as CSV and as Parquet and read back", async () => {
+  fromCsv = parse(usageAsCsv(usage), { columns: true });
+  const bytes = usageAsParquet(usage);
+  const file = new ArrayBuffer(bytes.length);
+  new Uint8Array(file).set(bytes);
+  fromParquet = (await parquetReadObjects({ file })).map((row) => ({ ...row, count: String(row["count"]) }));
+});
+Then("both give the same rows", () => {
+  const wanted = usage.map((row) => ({ ...row, count: String(row.count) }));
+  assert.deepEqual(fromCsv, wanted);
+  assert.deepEqual(fromParquet, wanted);
+});
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -45,3 +45,8 @@
     When "w1" leaves
     And a beat of call 9 says that "w1" is ready
     Then "w1" is gone
+
+  Scenario: Usage is exported alike to CSV and Parquet, by the stated schema
+    Given usage rows of two nodes, one with a comma and a quote in its route
+    When they are written as CSV and as Parquet and read back
+    Then both give the same rows
--- a/src/programs/stationmaster.ts
+++ b/src/programs/stationmaster.ts
@@ -3,6 +3,7 @@
 import type { Command } from "commander";
 import { err, ok, type Result } from "true-myth/result";
 import { isRec, parseJson, type Rec } from "../trackbed/shape.js";
+import type { UsageRow } from "./usage-export.js";
 
 /** Exit codes: 0 done, 1 refused by the system, 2 wrong input, 3 nobody reached. */
 export type OrderMishap = { readonly code: 1 | 2 | 3; readonly sentence: string };
@@ -90,6 +91,21 @@
   }
 };
 
+const exportUsage = async (file: string, ready: readonly string[]): Promise<Result<Rec, OrderMishap>> => {
+  const { readUsageRow, writeUsage } = await import("./usage-export.js");
+  const rows: UsageRow[] = [];
+  for (const address of ready) {
+    const told = await ask(address, "GET", "/tell/counts", "");
+    if (told.isErr) return told;
+    rows.push(...rowsOf(told.value["counts"]).map((row) => readUsageRow(address, row)));
+  }
+  try {
+    return (await writeUsage(file, rows)) ? ok({ rows: rows.length }) : err({ code: 2, sentence: `${file} must end in .csv or .parquet` });
+  } catch (mishap) {
+    return err({ code: 2, sentence: `${file} cannot be written: ${mishap instanceof Error ? mishap.message : "unknown"}` });
+  }
+};
+
 const QUERIES: Readonly<Record<string, string>> = {
   nodes: "the pointsmen with a session",
   workers: "the workers, as their beats tell them",
@@ -127,6 +143,11 @@
     finish(await askAny(boxesOf(options), "POST", "/cells/shift", JSON.stringify({ cell: "" })), () => "Shifted back.");
   });
 
+  station
+    .command("usage <file> <ready...>")
+    .description("export usage from pointsmen's ready addresses (ip:port) to FILE.csv or FILE.parquet")
+    .action(async (file: string, ready: string[]) => finish(await exportUsage(file, ready), ({ rows }) => `Wrote ${cell(rows)} rows.`));
+
   const rollout = station.command("rollout").description("the comparison of route versions that split their traffic");
   const rolloutRows = (told: Rec): readonly Rec[] => (isRec(told["rollouts"]) ? rowsOf(told["rollouts"]["rollouts"]) : []);
   query(rollout.command("list").description("every candidate with its verdict")).action(async (options: Common) => {
