--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -58,6 +58,7 @@
 let yard = new Yard(clock);
 let front: Front;
 let port = 0;
+let rolloutCounts: string[] = [];
 let isAllowanceEmpty = false;
 let workers = new Map<string, StandIn>();
 let got: Got[] = [];
@@ -82,7 +83,7 @@
     otherNodes: () => ({ here: 0, everywhere: 0 }),
     countFault: () => undefined,
     tally: () => undefined,
-    countRollout: () => undefined,
+    countRollout: (...counted) => rolloutCounts.push(counted[3]),
     random: Math.random,
   });
   board.events.on("changed", (facts) => {
@@ -164,6 +165,7 @@
   workers = new Map();
   got = [];
   raw = "";
+  rolloutCounts = [];
   isAllowanceEmpty = false;
 });
 
@@ -287,3 +289,20 @@
   assert.equal(shuntReport?.sent, count);
   assert.ok(shuntReport.mostMs >= 1_400, `${shuntReport.mostMs} ms`);
 });
+
+Given("the plan splits {string} over two services", async (path: string) => {
+  const call = readCall(PLAN.replaceAll('"version":1', '"version":2').replaceAll('"service":"s1"', '"shares":[{"service":"s1","share":1},{"service":"s0","share":0}]'));
+  assert.ok(call.isOk && path === "/unsafe/");
+  board.post(call.value.map((register) => ({ key: PLAN_PREFIX + register.key, version: register.version, tie: "", body: { dropped: false, item: register.body } })));
+  await settle();
+});
+When("a caller posts {string} to {string} and leaves after {int} ms", async (body: string, path: string, leavesAfterMs: number) => {
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => undefined);
+  socket.write(`POST ${path} HTTP/1.1\r\nHost: a.example\r\nYewreel-Try-Id: leaver\r\nYewreel-Time-Left-Ms: 2500\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+  for (let turn = 0; turn < 2_000 && worker("w1").seen.length === 0; turn += 1) await settle();
+  await clock.pass(leavesAfterMs * 1_000);
+  socket.destroy();
+  for (let turn = 0; turn < 200 && front.openRequests > 0; turn += 1) await settle();
+});
+Then(/^the rollout counts (doubled|nothing)$/, (counted: string) => assert.deepEqual(rolloutCounts, counted === "nothing" ? [] : [counted]));
--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -76,6 +76,17 @@
     When a caller posts "an order" to "/unsafe/x" and its time runs out
     Then the answer is 504
 
+  Scenario Outline: A caller who leaves at the end of its patience is counted, one who leaves early is not
+    Given a worker "w1" that stays silent
+    And the plan splits "/unsafe/" over two services
+    When a caller posts "an order" to "/unsafe/x" and leaves after <ms> ms
+    Then the rollout counts <counted>
+
+    Examples:
+      | ms   | counted |
+      | 2400 | doubled |
+      | 300  | nothing |
+
   Scenario: A safe request moves on from a worker that has fallen silent
     Given a worker "w1" that stays silent
     When a caller gets "/safe/x" while "w2" joins and a second passes
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -38,6 +38,7 @@
 const MOST_READING = 512;
 const MOST_CARRIED = 1_024;
 const GATE_PART = 8;
+const PATIENCE_PART = 0.8;
 const SILENCE_CHECK_US = 120 * MS;
 const NOT_PASSED_ON: ReadonlySet<string> = new Set([TIME_LEFT, EXPECT_WORKER, "content-length", "expect"]);
 const NONE: ReadonlySet<string> = new Set();
@@ -138,6 +139,7 @@
       res.once("close", () => {
         line.open -= 1;
         this.open -= 1;
+        if (!trip.over) this.abandoned(trip);
         this.end(trip);
         resolve();
       });
@@ -338,6 +340,15 @@
     this.options.tally(trip.route?.name ?? "none", kind, outcome);
   };
 
+  /** The caller went away unanswered: at the end of its patience that is the service's doing, sooner it is its own. */
+  private readonly abandoned = (trip: Trip): void => {
+    this.count(trip, "caller left");
+    const waitedUs = this.options.clock.nowUs() - trip.arrivedUs;
+    if (waitedUs < (trip.budgetUs - trip.arrivedUs) * PATIENCE_PART) return;
+    const mayHaveRun = trip.mayHaveRun || [...trip.calls].some((call) => call.hasStarted());
+    this.countSplit(trip, mayHaveRun && trip.route?.isSafe === false ? "doubled" : "lost");
+  };
+
   private readonly countSplit = (trip: Trip, outcome: RolloutOutcome): void => {
     if (trip.route !== undefined && trip.route.shares.length > 1) this.options.countRollout(trip.route, trip.service, trip.stratum, outcome);
   };
