--- /dev/null
+++ b/features/relay.feature
@@ -0,0 +1,25 @@
+Feature: News goes down a tree of relays that mends itself
+
+  Background:
+    Given a signalbox that feeds 4 and 9 pointsmen below it
+
+  Scenario: More pointsmen than a node feeds are fed through relays
+    Then some pointsmen are fed by a relay and none feeds more than 4
+    When a fact is posted at the signalbox
+    Then every pointsman holds it within 100 ms
+
+  Scenario: When a relay dies its children get the news by another way in time
+    When a relay with children dies without a word
+    And a fact is posted at the signalbox
+    Then every pointsman holds it within 2000 ms
+
+  Scenario: An older fact that comes late changes nothing
+    When a fact is posted at the signalbox
+    And the fact is posted again with a lower version
+    Then every pointsman holds it within 100 ms
+
+  Scenario: A pointsman goes on with what it has when the signalbox is gone
+    When a fact is posted at the signalbox
+    Then every pointsman holds it within 100 ms
+    When the signalbox is gone for 5000 ms
+    Then every pointsman holds it within 0 ms
--- /dev/null
+++ b/features/steps/relay.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { Board } from "../../src/signalling/board.js";
+import { Feeder } from "../../src/signalling/feeder.js";
+import { FAN_OUT, Sessions } from "../../src/signalling/sessions.js";
+import { Switchboard } from "../../src/signalling/switchboard.js";
+import { Taker } from "../../src/signalling/taker.js";
+import { silentLog } from "../../src/trackbed/log.js";
+import type { Message, Wire } from "../../src/trackbed/wire.js";
+import { ManualClock } from "../support/manual-clock.js";
+
+interface Node {
+  readonly taker: Taker;
+  readonly board: Board;
+  readonly feeder: Feeder;
+  readonly relay: Switchboard;
+}
+
+const TIMES = { pulseUs: 300_000, silenceUs: 1_000_000 };
+
+let clock = new ManualClock();
+let top = new Board(clock);
+let topFeeder: Feeder;
+let box: Switchboard | undefined;
+let nodes: Node[] = [];
+
+const pass = async (waitMs: number): Promise<void> => {
+  for (let passedMs = 0; passedMs < waitMs; passedMs += 20) await clock.pass(20_000);
+};
+
+Given("a signalbox that feeds {int} and {int} pointsmen below it", async (room: number, count: number) => {
+  assert.equal(room, FAN_OUT);
+  clock = new ManualClock();
+  nodes = [];
+  const port = 22_000 + Math.floor(Math.random() * 30_000);
+  top = new Board(clock);
+  topFeeder = new Feeder(clock, top, () => true);
+  const boxId = `127.3.0.1:${port}`;
+  const sessions = new Sessions({ clock, feeder: topFeeder, log: silentLog, isFit: () => true, boxes: () => [{ id: boxId, cell: "c1" }] });
+  box = new Switchboard(clock, TIMES, { pointsman: sessions.serve }, silentLog);
+  await box.listen("127.3.0.1", port);
+  for (let number = 1; number <= count; number += 1) {
+    const board = new Board(clock);
+    const feeder = new Feeder(clock, board, () => false);
+    const ip = `127.3.1.${number}`;
+    const taker = new Taker({ name: `n${number}`, cell: "c1", relay: `${ip}:${port + 1}`, seeds: [boxId], signalPort: port, clock, times: TIMES, board, log: silentLog });
+    const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+      if (!taker.isFed) return;
+      feeder.adopt(wire);
+      for await (const message of incoming) assert.ok(message.kind);
+      feeder.release(wire);
+    };
+    const relay = new Switchboard(clock, TIMES, { child: serveChild }, silentLog);
+    await relay.listen(ip, port + 1);
+    void taker.run();
+    nodes.push({ taker, board, feeder, relay });
+    await pass(200);
+  }
+});
+
+When("a fact is posted at the signalbox", () => {
+  top.post([{ key: "plan/route/r1", version: 9, tie: "", body: { item: "nine", dropped: false } }]);
+});
+When("the fact is posted again with a lower version", async () => {
+  await pass(100);
+  nodes.forEach(({ board }) => board.post([{ key: "plan/route/r1", version: 8, tie: "", body: { item: "eight", dropped: false } }]));
+});
+When("a relay with children dies without a word", () => {
+  const dying = nodes.find(({ feeder }) => feeder.size > 0);
+  assert.ok(dying, "no relay has children");
+  nodes = nodes.filter((node) => node !== dying);
+  dying.taker.stop();
+  dying.relay.close();
+});
+When("the signalbox is gone for {int} ms", async (waitMs: number) => {
+  box?.close();
+  await pass(waitMs);
+});
+
+Then("some pointsmen are fed by a relay and none feeds more than {int}", async (most: number) => {
+  await pass(500);
+  assert.equal(topFeeder.size, most);
+  assert.equal(nodes.reduce((sum, { feeder }) => sum + feeder.size, 0), nodes.length - most);
+  nodes.forEach(({ feeder }) => assert.ok(feeder.size <= most));
+});
+Then("every pointsman holds it within {int} ms", async (waitMs: number) => {
+  await pass(waitMs);
+  nodes.forEach(({ board }, at) => assert.equal(board.get("plan/route/r1")?.body["item"], "nine", `node ${at + 1}`));
+});
+
+After({ tags: "not @none" }, () => {
+  nodes.forEach(({ taker, relay }) => {
+    taker.stop();
+    relay.close();
+  });
+  nodes = [];
+  box?.close();
+  box = undefined;
+});
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -5,7 +5,7 @@
 import { asList, asRec, flag, list, text, textOf } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
 import { dial, type Message, type Wire, type WireTimes } from "../trackbed/wire.js";
-import { PLAN_PREFIX, WORKER_PREFIX, type Board } from "./board.js";
+import { WORKER_PREFIX, type Board } from "./board.js";
 import type { Crew } from "./feeder.js";
 import { readCrew } from "./sessions.js";
 
@@ -159,5 +159,3 @@
     if (this.parent === parent) this.report({ kind: "lost-news", parent });
   };
 }
-
-export const hasPlan = (board: Board): boolean => board.all().some((fact) => fact.key.startsWith(PLAN_PREFIX));
--- a/src/trackbed/span.ts
+++ b/src/trackbed/span.ts
@@ -14,5 +14,3 @@
   const unitUs = UNIT_US[found?.[2] ?? ""];
   return found && unitUs ? ok(Math.round(Number(found[1]) * unitUs)) : err({ kind: "not-a-span", text: String(text) });
 };
-
-export const formatSpan = (spanUs: number): string => `${Math.round(spanUs / MS)}ms`;
