--- a/features/relay.feature
+++ b/features/relay.feature
@@ -13,6 +13,11 @@
     And a fact is posted at the signalbox
     Then every pointsman holds it within 2000 ms
 
+  Scenario: When only the links below a relay break its children ask for another way
+    When a relay with children no longer feeds them
+    And a fact is posted at the signalbox
+    Then every pointsman holds it within 2000 ms
+
   Scenario: An older fact that comes late changes nothing
     When a fact is posted at the signalbox
     And the fact is posted again with a lower version
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -72,6 +72,11 @@
   dying.taker.stop();
   dying.relay.close();
 });
+When("a relay with children no longer feeds them", () => {
+  const broken = nodes.find(({ feeder }) => feeder.size > 0);
+  assert.ok(broken, "no relay has children");
+  broken.relay.close();
+});
 When("the signalbox is gone for {int} ms", async (waitMs: number) => {
   box?.close();
   await pass(waitMs);
