A bound on the memory for bodies held whole, and test addresses that never collide

Held bodies and answers take from one room, a quarter of the process's memory; beyond it a body is refused with a promise and an answer flows on unheld. A scenario failed once for a port in use: ports were drawn at random.

--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -23,6 +23,8 @@
 let topFeeder: Feeder;
 let box: Switchboard | undefined;
 let nodes: Node[] = [];
+/** Every scenario's tree has ports of its own. */
+let trees = 0;
 
 const pass = async (waitMs: number): Promise<void> => {
   for (let passedMs = 0; passedMs < waitMs; passedMs += 20) await clock.pass(20_000);
@@ -32,7 +34,8 @@
   assert.equal(room, FAN_OUT);
   clock = new ManualClock();
   nodes = [];
-  const port = 22_000 + Math.floor(Math.random() * 30_000);
+  trees += 1;
+  const port = 12_000 + trees * 20;
   top = new Board(clock);
   topFeeder = new Feeder(clock, top, () => true);
   const boxId = `127.3.0.1:${port}`;
--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -12,6 +12,8 @@
 
 let clock = new ManualClock();
 let base = 0;
+/** Every scenario's system has ports of its own. */
+let systems = 0;
 let boxes: Settings[] = [];
 let nodes: Settings[] = [];
 let running = new Map<string, Running>();
@@ -138,7 +140,8 @@
   running = new Map();
   workers = new Map();
   lastBeatUs = 0;
-  base = 21_000 + Math.floor(Math.random() * 30_000);
+  systems += 1;
+  base = 12_000 + systems * 20;
   boxes = [1, 2, 3].map((number) => settingsOf(`box-${number}`, `127.1.0.${number}`, `c${number}`, base + 4));
   nodes = [];
   for (const box of boxes) running.set(box.name, await runSignalbox(box, clock));
--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -58,6 +58,9 @@
 let yard = new Yard(clock);
 let front: Front;
 let port = 0;
+/** Every front gets an address of its own, so that no two scenarios share a port. */
+let fronts = 0;
+let host = "";
 let rolloutCounts: string[] = [];
 let isAllowanceEmpty = false;
 let workers = new Map<string, StandIn>();
@@ -76,6 +79,7 @@
     clock,
     log: silentLog,
     cell: "c1",
+    roomBytes: 64 * 1024,
     table,
     yard,
     allowanceOf: () => (isAllowanceEmpty ? none : generous),
@@ -96,8 +100,10 @@
     assert.ok(call.isOk);
     board.post(call.value.map((register) => ({ key: PLAN_PREFIX + register.key, version: register.version, tie: "", body: { dropped: false, item: register.body } })));
   }
-  port = 20_000 + Math.floor(Math.random() * 20_000);
-  await front.listen(`127.0.0.1:${port}`);
+  fronts += 1;
+  host = `127.4.${Math.floor(fronts / 200)}.${(fronts % 200) + 1}`;
+  port = 12_000;
+  await front.listen(`${host}:${port}`);
   await settle();
 };
 
@@ -114,7 +120,7 @@
   new Promise((resolve, reject) => {
     lastTry += 1;
     const request = httpRequest(
-      { host: "127.0.0.1", port, method, path, agent: false, headers: { Host: "a.example", "Yewreel-Try-Id": `try-${lastTry}`, "Yewreel-Time-Left-Ms": "2500", ...(body === "" ? {} : { "Content-Length": body.length }) } },
+      { host, port, method, path, agent: false, headers: { Host: "a.example", "Yewreel-Try-Id": `try-${lastTry}`, "Yewreel-Time-Left-Ms": "2500", ...(body === "" ? {} : { "Content-Length": body.length }) } },
       (response) => {
         const chunks: Buffer[] = [];
         response.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -140,7 +146,7 @@
 
 const converse = (bytes: string, enough: (answer: string) => boolean): Promise<string> =>
   new Promise((resolve) => {
-    const socket = connect(port, "127.0.0.1", () => socket.write(bytes));
+    const socket = connect(port, host, () => socket.write(bytes));
     let answer = "";
     socket.on("data", (chunk) => {
       answer += chunk.toString();
@@ -277,7 +283,7 @@
 let shuntReport: ShuntReport | undefined;
 
 When("the load generator sends {int} requests a second for {int} seconds to {string}", async (ratePerS: number, seconds: number, path: string) => {
-  const load = { targets: [`127.0.0.1:${port}`], host: "a.example", path, method: path.startsWith("/unsafe") ? "POST" : "GET", body: "", ratePerS, seconds, budgetMs: 1_500 };
+  const load = { targets: [`${host}:${port}`], host: "a.example", path, method: path.startsWith("/unsafe") ? "POST" : "GET", body: "", ratePerS, seconds, budgetMs: 1_500 };
   const work = shunt(load, clock).then((shunted) => {
     shuntReport = reportOf(shunted);
     return { status: 0, heads: {}, body: "" };
@@ -297,7 +303,7 @@
   await settle();
 });
 When("a caller posts {string} to {string} and leaves after {int} ms", async (body: string, path: string, leavesAfterMs: number) => {
-  const socket = connect(port, "127.0.0.1");
+  const socket = connect(port, host);
   socket.on("error", () => undefined);
   socket.write(`POST ${path} HTTP/1.1\r\nHost: a.example\r\nYewreel-Try-Id: leaver\r\nYewreel-Time-Left-Ms: 2500\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
   for (let turn = 0; turn < 2_000 && worker("w1").seen.length === 0; turn += 1) await settle();
@@ -306,3 +312,13 @@
   for (let turn = 0; turn < 200 && front.openRequests > 0; turn += 1) await settle();
 });
 Then(/^the rollout counts (doubled|nothing)$/, (counted: string) => assert.deepEqual(rolloutCounts, counted === "nothing" ? [] : [counted]));
+
+When("a caller posts {int} bytes to {string}", async (size: number, path: string) => {
+  got.push(await during(send("POST", path, "x".repeat(size)), 2_000));
+});
+Given("worker {string} has {int} bytes to answer with", (id: string, size: number) => {
+  worker(id).body = "y".repeat(size);
+});
+Then("the answer is {int} with all {int} bytes", (status: number, size: number) => {
+  assert.deepEqual([last().status, last().body.length], [status, size]);
+});
--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -92,6 +92,21 @@
     When a caller gets "/safe/x" while "w2" joins and a second passes
     Then the answer is 200 with the worker's body, seal and mark
 
+  Scenario: Bodies beyond the room of the process are refused, and the room comes back
+    Given a worker "w1" that answers well
+    When a caller posts 100000 bytes to "/unsafe/x"
+    Then the answer is 503 with Retry-After
+    When a caller posts 50000 bytes to "/unsafe/x"
+    Then the answer is 200 with the worker's body, seal and mark
+    When a caller posts 50000 bytes to "/unsafe/x"
+    Then the answer is 200 with the worker's body, seal and mark
+
+  Scenario: An answer beyond the room flows on and comes whole
+    Given a worker "w1" that answers well
+    And worker "w1" has 900000 bytes to answer with
+    When a caller gets "/safe/x"
+    Then the answer is 200 with all 900000 bytes
+
   Scenario: Requests sent without waiting are answered in their order
     Given a worker "w1" that answers well
     When a caller sends 5 requests to "/safe/x" at once on one connection
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -17,6 +17,10 @@
 import type { Running } from "./running.js";
 
 const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
+const MB = 1024 * 1024;
+const DEFAULT_MEMORY_MB = 256;
+/** Bodies held whole take at most this part of the memory. */
+const ROOM_PART = 4;
 const REPORT_US = 2 * SECOND;
 const ROLLOUT_REPORT_US = 500 * MS;
 /** How long after SIGTERM new connections may still come, until everyone has seen that this node is not ready. */
@@ -52,6 +56,7 @@
     clock,
     log: logFor("front"),
     cell: settings.cell,
+    roomBytes: ((settings.memoryMb || DEFAULT_MEMORY_MB) * MB) / ROOM_PART,
     table,
     yard,
     allowanceOf,
--- a/src/traction/call.ts
+++ b/src/traction/call.ts
@@ -9,6 +9,8 @@
   readonly heads: string[];
   readonly body: Buffer | Readable | null;
   readonly tryId: string;
+  /** Takes room for a part of the answer; when there is none left, the answer flows on without being held. */
+  readonly hold: (bytes: number) => boolean;
 }
 
 export interface Answer {
@@ -129,7 +131,7 @@
     }
     this.chunks.push(chunk);
     this.heldBytes += chunk.length;
-    if (this.heldBytes > HELD_BYTES) this.startStreaming(controller);
+    if (!this.order.hold(chunk.length) || this.heldBytes > HELD_BYTES) this.startStreaming(controller);
   };
 
   readonly onResponseEnd = (): void => {
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -12,6 +12,7 @@
 import { Gate } from "./gate.js";
 import { EXPECT_WORKER, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
 import type { Route, RouteTable } from "./routes.js";
+import { Room } from "./room.js";
 import { Stage } from "./stage.js";
 import type { Line, Trip } from "./trip.js";
 import type { Worker, Yard } from "./yard.js";
@@ -21,6 +22,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly cell: string;
+  /** How much memory bodies held whole may take, all in all. */
+  readonly roomBytes: number;
   readonly table: RouteTable;
   readonly yard: Yard;
   readonly allowanceOf: (service: string) => Allowance;
@@ -51,12 +54,14 @@
   private readonly chooser: Chooser;
   private readonly reading: Stage<Trip>;
   private readonly carrying: Stage<Trip>;
+  private readonly room: Room;
   /** Requests read and not yet answered. */
   private open = 0;
   private leaving = false;
 
   constructor(private readonly options: FrontOptions) {
     const { yard, cell, random, connectionShare, otherNodes, clock } = options;
+    this.room = new Room(options.roomBytes);
     this.chooser = new Chooser({ yard, cell, random, connectionShare, otherNodes });
     this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0));
     this.reading = new Stage(MOST_READING, MOST_READING, this.read);
@@ -126,6 +131,7 @@
       body: null,
       tried: new Set(),
       calls: new Set(),
+      heldBytes: 0,
       sends: 0,
       mayHaveRun: false,
       linkMishap: false,
@@ -141,6 +147,8 @@
         this.open -= 1;
         if (!trip.over) this.abandoned(trip);
         this.end(trip);
+        this.room.give(trip.heldBytes);
+        trip.heldBytes = 0;
         resolve();
       });
     });
@@ -161,13 +169,13 @@
     }
     const held = await within(clock, trip.budgetUs - clock.nowUs(), this.hold(trip), "slowBody" as const);
     if (trip.over) return;
-    if (held === "slowBody" || held === "bodyTooLarge") return this.refuse(trip, held);
+    if (held === "slowBody" || held === "bodyTooLarge" || held === "full") return this.refuse(trip, held);
     if (held === "broken") return this.end(trip);
     trip.body = held;
     this.direct(trip);
   };
 
-  private readonly hold = async (trip: Trip): Promise<Buffer | "broken" | "bodyTooLarge"> => {
+  private readonly hold = async (trip: Trip): Promise<Buffer | "broken" | "bodyTooLarge" | "full"> => {
     const chunks: Buffer[] = [];
     let size = 0;
     try {
@@ -175,6 +183,7 @@
         if (!Buffer.isBuffer(chunk)) continue;
         size += chunk.length;
         if (size > this.options.table.limits.maxBodyBytes) return "bodyTooLarge";
+        if (!this.takeRoom(trip, chunk.length)) return "full";
         chunks.push(chunk);
       }
     } catch {
@@ -183,6 +192,13 @@
     return trip.req.complete ? Buffer.concat(chunks) : "broken";
   };
 
+  /** After the request's end nothing is taken, since nothing would be given back. */
+  private readonly takeRoom = (trip: Trip, bytes: number): boolean => {
+    if (trip.over || !this.room.take(bytes)) return false;
+    trip.heldBytes += bytes;
+    return true;
+  };
+
   /** Route: the longest prefix of the host, and by its shares a service. */
   private readonly direct = (trip: Trip): void => {
     const { table, random, allowanceOf } = this.options;
@@ -253,7 +269,7 @@
     heads.push("Yewreel-Time-Left-Ms", String(leftMs), "Yewreel-Expect-Worker", worker.id);
     const length = trip.req.headers["content-length"];
     if (!isHeldBody(trip) && length !== undefined) heads.push("Content-Length", length);
-    const call = new WorkerCall(worker, { method: trip.req.method ?? "GET", path: trip.req.url ?? "/", heads, body: trip.body, tryId: trip.tryId }, clock.nowUs);
+    const call = new WorkerCall(worker, { method: trip.req.method ?? "GET", path: trip.req.url ?? "/", heads, body: trip.body, tryId: trip.tryId, hold: (bytes) => this.takeRoom(trip, bytes) }, clock.nowUs);
     if (trip.sends === 0) trip.stratum = `${worker.cell === this.options.cell ? "near" : "far"}|${clock.nowUs() < worker.warmUntilUs ? "cold" : "warm"}`;
     trip.tried.add(worker.id);
     trip.sends += 1;
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -29,6 +29,8 @@
   /** Invariant: the workers it was sent to or that proved unreachable; none is asked twice. */
   readonly tried: Set<string>;
   readonly calls: Set<Calling>;
+  /** What was taken of the room for held bodies on behalf of this request. */
+  heldBytes: number;
   sends: number;
   /** Set once some worker may have run it; from then on no promise may be given. */
   mayHaveRun: boolean;
