--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -42,6 +42,7 @@
   withstandMachines: 1,
   retryRatio: 0.2,
   retrySlack: 50,
+  rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
 });
 
 const call = (address: string, method: string, path: string, body = "", heads: Readonly<Record<string, string>> = {}): Promise<{ readonly status: number; readonly body: string }> =>
--- a/features/steps/terms.ts
+++ b/features/steps/terms.ts
@@ -34,6 +34,7 @@
   "the ports are one": ["[7540, 7555]", "[7540]"],
   "the seeds are a text": ['["10.0.0.1:80"]', '"10.0.0.1:80"'],
   "the log level is unknown": ['logLevel = "info"', 'logLevel = "loud"'],
+  "a rollout weight is negative": ["[bounds]", "[rollout]\nlate = -1\n[bounds]"],
   "the file is no TOML": ["[node]", "[node"],
   "nothing is wrong": ["", ""],
 };
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -11,6 +11,7 @@
       | the ports are one             | node.sparePorts |
       | the seeds are a text          | node.seedNodes  |
       | the log level is unknown      | node.logLevel   |
+      | a rollout weight is negative  | rollout.late    |
       | the file is no TOML           | Invalid         |
 
   Scenario: Settings that are right are whole microseconds
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -136,7 +136,7 @@
   const rollouts = new RolloutInspector({
     clock,
     log: logFor("rollout"),
-    terms: TRIAL_TERMS,
+    terms: { ...TRIAL_TERMS, weights: settings.rolloutWeights },
     random: Math.random,
     isHolder: duty.isHolder,
     epoch: duty.epoch,
--- a/src/trackbed/settings.ts
+++ b/src/trackbed/settings.ts
@@ -33,6 +33,13 @@
   },
 });
 
+convict.addFormat({
+  name: "weight",
+  validate: (value: unknown) => {
+    if (typeof value !== "number" || !(value >= 0)) throw new Error("must be a number of 0 or more");
+  },
+});
+
 const noTexts: string[] = [];
 const noPorts: number[] = [];
 
@@ -59,6 +66,12 @@
       memoryMb: { format: "nat", default: 0 },
       fileHandles: { format: "nat", default: 0 },
     },
+    rollout: {
+      late: { format: "weight", default: 0.3 },
+      lostSafe: { format: "weight", default: 1 },
+      lostUnsafe: { format: "weight", default: 2 },
+      doubled: { format: "weight", default: 5 },
+    },
     withstand: { machines: { format: "nat", default: 0 } },
     bounds: {
       drain: { format: "span", default: -1 },
@@ -99,6 +112,8 @@
   readonly retryRatio: number;
   readonly retryWindowUs: number;
   readonly retrySlack: number;
+  /** How heavy each loss weighs when a new route version is judged. */
+  readonly rolloutWeights: { readonly late: number; readonly lostSafe: number; readonly lostUnsafe: number; readonly doubled: number };
 }
 
 export const checkSettings = (raw: string): Result<Settings, SettingsMishap> => {
@@ -132,6 +147,7 @@
       retryRatio: cfg.get("bounds.retryRatio"),
       retryWindowUs: cfg.get("bounds.retryWindow"),
       retrySlack: cfg.get("bounds.retrySlack"),
+      rolloutWeights: cfg.get("rollout"),
     });
   } catch (mishap) {
     const sentence = (mishap instanceof Error ? mishap.message : String(mishap)).split("\n").filter((line) => line.trim() !== "")[0] ?? "";
