One piece of code where the change had written two

Reading a route's shares and its main service, the average of bets, whose rollout version a row is, whether a request may have run, the majority in reach, and reading a duty's register each stand once now; two unused outcomes go; nothing is worked out for rollouts on routes that send to one service.

--- a/src/inspection/evidence.ts
+++ b/src/inspection/evidence.ts
@@ -63,6 +63,9 @@
   horizonRequests: 20_000,
 };
 
+/** The average of products given by their logarithms. */
+const averageOf = (logs: readonly number[]): number => logs.reduce((sum, log) => sum + Math.exp(Math.min(log, 500)), 0) / logs.length;
+
 const WORSE_BY = [2, 5, 15];
 
 /**
@@ -88,7 +91,7 @@
     });
   };
 
-  readonly evidence = (): number => this.logs.reduce((sum, log) => sum + Math.exp(Math.min(log, 500)), 0) / this.logs.length;
+  readonly evidence = (): number => averageOf(this.logs);
 }
 
 const PARTS = [0.25, 0.5, 0.9];
@@ -109,7 +112,7 @@
     });
   };
 
-  readonly evidence = (): number => this.logs.reduce((sum, log) => sum + Math.exp(Math.min(log, 500)), 0) / this.logs.length;
+  readonly evidence = (): number => averageOf(this.logs);
 }
 
 export type VerdictName = "observing" | "stop" | "pass" | "inconclusive";
@@ -238,10 +241,11 @@
       this.against.take(candidate[kind], baseline[kind], ...sizes, Math.min(1, this.weightOf(kind)));
     });
     if (!this.isSafe) this.doubled.take(candidate.doubled, baseline.doubled, ...sizes, 1);
-    const baselineLoss = this.lossOf(baseline) / this.heaviest();
+    const heaviest = this.heaviest();
+    const baselineLoss = this.lossOf(baseline) / heaviest;
     const baselineDoubled = baseline.doubled / sizeOf(baseline);
     this.shuffled(candidate).forEach((kind) => {
-      this.sound.take(this.weightOf(kind) / this.heaviest(), baselineLoss);
+      this.sound.take(this.weightOf(kind) / heaviest, baselineLoss);
       this.soundDoubled.take(kind === "doubled" ? 1 : 0, baselineDoubled);
     });
     this.candidate = add(this.candidate, candidate);
--- a/src/inspection/rollout-counts.ts
+++ b/src/inspection/rollout-counts.ts
@@ -30,8 +30,9 @@
 
   readonly count = (route: string, version: number, service: string, stratum: string, outcome: RolloutOutcome): void => {
     const key = `${route}\n${version}\n${service}\n${stratum}`;
-    const row = this.rows.get(key) ?? { route, version, service, stratum, inTime: 0, late: 0, lost: 0, doubled: 0, own: 0 };
-    if (!this.rows.has(key) && this.rows.size >= MOST_ROWS) return;
+    const known = this.rows.get(key);
+    if (!known && this.rows.size >= MOST_ROWS) return;
+    const row = known ?? { route, version, service, stratum, inTime: 0, late: 0, lost: 0, doubled: 0, own: 0 };
     row[outcome] += 1;
     this.rows.set(key, row);
     this.changed.add(key);
--- a/src/inspection/rollout-inspector.ts
+++ b/src/inspection/rollout-inspector.ts
@@ -1,6 +1,7 @@
 import type { Clock, Pulse } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { asList, asRec, list, numberOf, text, textOf, whole, type Rec } from "../trackbed/shape.js";
+import { mainOf, type Share } from "../trackbed/shares.js";
 import { MS } from "../trackbed/span.js";
 import type { Message } from "../trackbed/wire.js";
 import { NO_TALLY, Trial, type Tally, type TrialTerms, type TrialVerdict } from "./evidence.js";
@@ -10,7 +11,7 @@
   readonly name: string;
   readonly version: number;
   readonly isSafe: boolean;
-  readonly shares: readonly { readonly service: string; readonly share: number }[];
+  readonly shares: readonly Share[];
 }
 
 export interface Stop {
@@ -82,6 +83,16 @@
 
 export type ClearMishap = "unknown-route" | "stale-version" | "not-stopped" | "not-published";
 
+interface RouteVersion {
+  readonly route: string;
+  readonly version: number;
+}
+
+const isOf = (row: RouteVersion, route: SplitRoute): boolean => row.route === route.name && row.version === route.version;
+
+const stopOf = (state: RolloutState, route: SplitRoute, candidate: string): Stop | undefined =>
+  state.stops.find((stop) => isOf(stop, route) && stop.candidate === candidate);
+
 const TICK_US = 500 * MS;
 
 const count = (value: unknown): number => {
@@ -160,7 +171,7 @@
     if (!inForce) return "unknown-route";
     if (version !== undefined && version !== inForce.version) return "stale-version";
     const state = this.options.state();
-    const stops = state.stops.filter((stop) => stop.route !== route || stop.version !== inForce.version);
+    const stops = state.stops.filter((stop) => !isOf(stop, inForce));
     if (stops.length === state.stops.length) return "not-stopped";
     if (!(await this.options.publish({ ...state, stops }))) return "not-published";
     this.comparisons.delete(route);
@@ -205,18 +216,18 @@
 
   private readonly baselineOf = (route: SplitRoute): string => {
     const { state, previousMain } = this.options;
-    const settled = state().baselines.find((row) => row.route === route.name && row.version === route.version);
+    const settled = state().baselines.find((row) => isOf(row, route));
     const known = settled?.service ?? previousMain(route.name);
     if (known !== undefined && route.shares.some(({ service }) => service === known)) return known;
-    return [...route.shares].sort((a, b) => b.share - a.share)[0]?.service ?? "";
+    return mainOf(route.shares);
   };
 
   private readonly decide = async (): Promise<void> => {
     const { state, publish, log, clock, epoch } = this.options;
     const before = state();
-    const inForce = (row: { readonly route: string; readonly version: number }) => this.comparisons.get(row.route)?.route.version === row.version;
+    const inForce = (row: RouteVersion) => this.comparisons.get(row.route)?.route.version === row.version;
     const fresh = [...this.comparisons.values()]
-      .filter(({ route }) => !before.baselines.some((row) => row.route === route.name && row.version === route.version))
+      .filter(({ route }) => !before.baselines.some((row) => isOf(row, route)))
       .map(({ route, baseline }) => ({ route: route.name, version: route.version, service: baseline }));
     const found = [...this.comparisons.values()].flatMap((comparison) => this.judge(comparison, before));
     const baselines = [...before.baselines.filter(inForce), ...fresh];
@@ -230,19 +241,18 @@
     const { clock, log, terms } = this.options;
     const { route, baseline, trials, verdicts, sinceUs } = comparison;
     return [...trials].flatMap(([candidate, trial]) => {
-      const isStopped = state.stops.some((stop) => stop.route === route.name && stop.version === route.version && stop.candidate === candidate);
       const verdict = trial.look();
       const before = verdicts.get(candidate);
       if (before?.verdict !== verdict.verdict && verdict.verdict === "pass") log.info(`${candidate} passed on ${route.name} at version ${route.version}: ${verdict.reason}`);
       verdicts.set(candidate, { ...verdict, afterUs: before?.verdict === verdict.verdict ? before.afterUs : clock.nowUs() - sinceUs });
-      if (verdict.verdict !== "stop" || isStopped) return [];
+      if (verdict.verdict !== "stop" || stopOf(state, route, candidate)) return [];
       return [{ route: route.name, version: route.version, candidate, baseline, reason: verdict.reason, evidence: evidenceOf(verdict, terms) }];
     });
   };
 
   private readonly row = (comparison: Comparison, candidate: string): Rec => {
     const { route, baseline, verdicts, trials, own } = comparison;
-    const stop = this.options.state().stops.find((one) => one.route === route.name && one.version === route.version && one.candidate === candidate);
+    const stop = stopOf(this.options.state(), route, candidate);
     const verdict = verdicts.get(candidate);
     const [candidateTally, baselineTally] = trials.get(candidate)?.totals() ?? [NO_TALLY, NO_TALLY];
     return {
--- a/src/inspection/split-routes.ts
+++ b/src/inspection/split-routes.ts
@@ -1,4 +1,5 @@
-import { asList, asRec, parseJson, text, whole } from "../trackbed/shape.js";
+import { asRec, parseJson } from "../trackbed/shape.js";
+import { mainOf, readShares } from "../trackbed/shares.js";
 import type { SplitRoute } from "./rollout-inspector.js";
 
 interface Seen {
@@ -30,9 +31,7 @@
 const readSeen = (name: string, version: number, body: string): Seen => {
   const rule = asRec(asRec(parseJson(body))["rule"], "rule");
   const then = asRec(rule["then"], "then");
-  if (then["shares"] === undefined) return { version, main: text(then, "service"), split: undefined };
-  const shares = asList(then["shares"], "shares").map((value) => ({ service: text(asRec(value), "service"), share: whole(asRec(value), "share") }));
-  const main = [...shares].sort((a, b) => b.share - a.share)[0]?.service ?? "";
+  const shares = readShares(then);
   const split = shares.length > 1 ? { name, version, isSafe: rule["routeKind"] === "safe", shares } : undefined;
-  return { version, main, split };
+  return { version, main: mainOf(shares), split };
 };
--- a/src/interlocking/check.ts
+++ b/src/interlocking/check.ts
@@ -1,6 +1,7 @@
 import convict from "convict";
 import { err, ok, type Result } from "true-myth/result";
 import { asList, asRec, isRec, parseJson, type Rec } from "../trackbed/shape.js";
+import { readShares } from "../trackbed/shares.js";
 import { parseSpan, SECOND } from "../trackbed/span.js";
 import { makeRegister, type Register } from "./register.js";
 
@@ -166,8 +167,7 @@
 
 const servicesOf = (route: Register): readonly string[] => {
   const then = asRec(asRec(asRec(parseJson(route.body))["rule"])["then"]);
-  const shares = then["shares"];
-  return shares === undefined ? [String(then["service"])] : asList(shares).map((share) => String(asRec(share)["service"]));
+  return readShares(then).map(({ service }) => service);
 };
 
 /** The first service that a route of the call names and nobody knows, neither the call nor the copy. */
--- a/src/interlocking/duty.ts
+++ b/src/interlocking/duty.ts
@@ -51,6 +51,13 @@
 
   readonly isHolder = (): boolean => this.wonEpoch !== 0 && this.wonEpoch === this.epoch();
 
+  /** Whether more than half of the roster stands, this one included if its copy counts. */
+  readonly hasMajority = (): boolean => {
+    const { self, ledger, stands } = this.options;
+    const members = ledger.members();
+    return members.filter((id) => stands(id) && (id !== self || ledger.isCounting)).length > members.length / 2;
+  };
+
   /** Answers votes, joins, leaves and namings. */
   readonly answer = async (message: Message): Promise<Message> => {
     switch (message.kind) {
@@ -103,14 +110,12 @@
     }
   };
 
-  /** A signalbox that is cut off proposes nothing: its epochs would rise and unseat the holder once it is joined. */
-  private readonly hasMajority = (members: readonly string[]): boolean => members.filter(this.options.stands).length > members.length / 2;
-
   private readonly propose = async (namedBy: string): Promise<boolean> => {
     const { self, ledger, log } = this.options;
     const members = ledger.members();
     const place = members.indexOf(self);
-    if (place < 0 || !ledger.isCounting || !this.hasMajority(members)) return false;
+    // One that is cut off proposes nothing: its epochs would rise and unseat the holder once it is joined.
+    if (place < 0 || !ledger.isCounting || !this.hasMajority()) return false;
     const epoch = (Math.floor(this.epoch() / EPOCH_STEP) + 1) * EPOCH_STEP + place;
     const message: Message = { kind: "vote", epoch, holder: self, namedBy };
     const won = await ledger.gather(
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -39,6 +39,8 @@
   const allowances = new Map<string, Allowance>();
   const tallies = new Map<string, number>();
   let crew: Crew = { pointsmen: 1, cells: {} };
+  /** Invariant: always that of `crew`, less this node. */
+  let otherNodes = { here: 0, everywhere: 0 };
   let leaving = false;
 
   const allowanceOf = (service: string): Allowance => {
@@ -61,7 +63,7 @@
     yard,
     allowanceOf,
     connectionShare,
-    otherNodes: () => ({ here: Math.max(0, (crew.cells[settings.cell] ?? 1) - 1), everywhere: Math.max(0, crew.pointsmen - 1) }),
+    otherNodes: () => otherNodes,
     countFault: counts.count,
     tally: (route, kind, outcome) => {
       const key = `${route}|${kind}|${settings.cell}|${outcome}`;
@@ -104,6 +106,7 @@
   });
   taker.events.on("crew", (told) => {
     crew = told;
+    otherNodes = { here: Math.max(0, (told.cells[settings.cell] ?? 1) - 1), everywhere: Math.max(0, told.pointsmen - 1) };
     allowances.forEach((allowance) => allowance.setCrew(told.pointsmen));
     feeder.setCrew(told);
   });
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -97,11 +97,7 @@
     });
   };
 
-  const isAdrift = (): boolean => {
-    const members = ledger.members();
-    const standing = members.filter((id) => colleagues.stands(id) && (id !== self || ledger.isCounting));
-    return members.length === 0 || standing.length <= members.length / 2;
-  };
+  const isAdrift = (): boolean => !duty.hasMajority();
   /** Invariant: true once a majority has been read in this life, so that what is fed is never a part of the plan. */
   let hasMended = false;
   const isFit = () => hasMended && !isAdrift();
@@ -113,10 +109,11 @@
     const version = Math.max((ledger.get(key)?.version ?? 0) + 1, epoch * EPOCH_ROOM);
     return (await ledger.write([makeRegister(key, version, JSON.stringify(wanted))], epoch)).isOk;
   };
-  const decisions = (): Decisions => {
-    const register = ledger.get(EJECTIONS_REGISTER);
-    return register ? readDecisions(parseJson(register.body)) : NO_DECISIONS;
+  const published = <T>(key: string, read: (value: unknown) => T, none: T): T => {
+    const register = ledger.get(key);
+    return register ? read(parseJson(register.body)) : none;
   };
+  const decisions = (): Decisions => published(EJECTIONS_REGISTER, readDecisions, NO_DECISIONS);
   const inspector = new Inspector({
     clock,
     log: logFor("inspection"),
@@ -129,10 +126,7 @@
     publish: (wanted) => publish(EJECTIONS_REGISTER, wanted),
   });
   const splitRoutes = new SplitRoutes();
-  const rolloutState = (): RolloutState => {
-    const register = ledger.get(ROLLOUTS_REGISTER);
-    return register ? readRolloutState(parseJson(register.body)) : NO_ROLLOUTS;
-  };
+  const rolloutState = (): RolloutState => published(ROLLOUTS_REGISTER, readRolloutState, NO_ROLLOUTS);
   const rollouts = new RolloutInspector({
     clock,
     log: logFor("rollout"),
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -298,7 +298,7 @@
 
   /** The budget is over: whatever a worker still does for it is of no use to anyone. */
   private readonly runOut = (trip: Trip): void => {
-    if ([...trip.calls].some((call) => call.hasStarted())) trip.mayHaveRun = true;
+    if (hasStarted(trip)) trip.mayHaveRun = true;
     this.refuse(trip, trip.mayHaveRun || trip.sends > 0 ? "tooLate" : "full");
   };
 
@@ -309,8 +309,7 @@
     const heads = passOn(answer.heads, answer.rest ? NONE : CONTENT_LENGTH);
     if (!answer.rest && trip.req.method !== "HEAD") heads.push("Content-Length", String(answer.start.length));
     this.count(trip, answer.status < 400 ? "served" : String(answer.status));
-    const isInTime = this.options.clock.nowUs() - trip.arrivedUs <= (trip.route?.aimUs ?? 0);
-    this.countSplit(trip, answer.status >= 500 ? "lost" : isInTime ? "inTime" : "late");
+    this.countSplit(trip, () => (answer.status >= 500 ? "lost" : this.waitedUs(trip) <= (trip.route?.aimUs ?? 0) ? "inTime" : "late"));
     this.markClosing(trip, false);
     res.writeHead(answer.status, heads);
     trip.over = true;
@@ -332,11 +331,11 @@
 
   /** Answer: the gateway's own, by the table of outcomes. */
   private readonly refuse = (trip: Trip, name: OutcomeName): void => {
-    const { res, route } = { res: trip.res, route: trip.route };
+    const { res, route } = trip;
     if (trip.over || res.headersSent) return;
     const outcome = OUTCOMES[name];
     this.count(trip, name);
-    this.countSplit(trip, trip.mayHaveRun ? (route?.isSafe ? "lost" : "doubled") : trip.linkMishap ? "own" : "lost");
+    this.countSplit(trip, () => (!trip.mayHaveRun && trip.linkMishap ? "own" : lossOf(trip, trip.mayHaveRun)));
     this.markClosing(trip, outcome.closes);
     const body = JSON.stringify({ problem: outcome.problem });
     if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route));
@@ -359,14 +358,15 @@
   /** The caller went away unanswered: at the end of its patience that is the service's doing, sooner it is its own. */
   private readonly abandoned = (trip: Trip): void => {
     this.count(trip, "caller left");
-    const waitedUs = this.options.clock.nowUs() - trip.arrivedUs;
-    if (waitedUs < (trip.budgetUs - trip.arrivedUs) * PATIENCE_PART) return;
-    const mayHaveRun = trip.mayHaveRun || [...trip.calls].some((call) => call.hasStarted());
-    this.countSplit(trip, mayHaveRun && trip.route?.isSafe === false ? "doubled" : "lost");
+    if (this.waitedUs(trip) < (trip.budgetUs - trip.arrivedUs) * PATIENCE_PART) return;
+    this.countSplit(trip, () => lossOf(trip, trip.mayHaveRun || hasStarted(trip)));
   };
 
-  private readonly countSplit = (trip: Trip, outcome: RolloutOutcome): void => {
-    if (trip.route !== undefined && trip.route.shares.length > 1) this.options.countRollout(trip.route, trip.service, trip.stratum, outcome);
+  private readonly waitedUs = (trip: Trip): number => this.options.clock.nowUs() - trip.arrivedUs;
+
+  /** Nothing is worked out for a route that sends to one service only. */
+  private readonly countSplit = (trip: Trip, outcome: () => RolloutOutcome): void => {
+    if (trip.route !== undefined && trip.route.shares.length > 1) this.options.countRollout(trip.route, trip.service, trip.stratum, outcome());
   };
 
   /** Whatever still runs for the trip is called off: it has been answered, or its caller is gone. */
@@ -392,6 +392,12 @@
 
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
+/** Whether bytes of it may have reached a worker that it is still at. */
+const hasStarted = (trip: Trip): boolean => [...trip.calls].some((call) => call.hasStarted());
+
+/** An unsafe request that may have run may be placed again by its caller. */
+const lossOf = (trip: Trip, mayHaveRun: boolean): RolloutOutcome => (mayHaveRun && trip.route?.isSafe === false ? "doubled" : "lost");
+
 const isHeldBody = (trip: Trip): boolean => trip.body === null || Buffer.isBuffer(trip.body);
 
 const comeBackS = (route: Route | undefined): string => ((route ? Math.max(50 * MS, route.aimUs / 4) : 250 * MS) / SECOND).toFixed(3);
--- a/src/traction/routes.ts
+++ b/src/traction/routes.ts
@@ -1,12 +1,8 @@
 import { PLAN_PREFIX, ROLLOUTS_KEY, type Fact } from "../signalling/board.js";
 import { asList, asRec, parseJson, text, whole } from "../trackbed/shape.js";
+import { readShares, type Share } from "../trackbed/shares.js";
 import { parseSpan, SECOND } from "../trackbed/span.js";
 
-export interface Share {
-  readonly service: string;
-  readonly share: number;
-}
-
 export interface Route {
   readonly name: string;
   readonly host: string;
@@ -42,10 +38,6 @@
   const rec = asRec(parseJson(body));
   const rule = asRec(rec["rule"], "rule");
   const then = asRec(rule["then"], "then");
-  const shares =
-    then["shares"] === undefined
-      ? [{ service: text(then, "service"), share: 1 }]
-      : asList(then["shares"], "shares").map((value) => ({ service: text(asRec(value), "service"), share: whole(asRec(value), "share") }));
   return {
     name: text(rule, "name"),
     host: text(rec, "host").toLowerCase(),
@@ -54,7 +46,7 @@
     aimUs: parseSpan(rule["target_time"]).unwrapOr(SECOND),
     rank: typeof rule["rank"] === "number" ? rule["rank"] : 0,
     version: whole(rule, "version"),
-    shares,
+    shares: readShares(then),
     giveUpUs: parseSpan(then["giveUp"]).unwrapOr(SECOND),
     tries: typeof then["tries"] === "number" ? Math.max(1, then["tries"]) : 1,
   };
