--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -39,14 +39,14 @@
   top = new Board(clock);
   topFeeder = new Feeder(clock, top, () => true);
   const boxId = `127.3.0.1:${port}`;
-  const sessions = new Sessions({ clock, feeder: topFeeder, log: silentLog, isFit: () => true, boxes: () => [{ id: boxId, cell: "c1" }] });
+  const sessions = new Sessions({ clock, feeder: topFeeder, log: silentLog, isFit: () => true, boxes: () => [{ id: boxId, cell: "c1" }], answer: async (message) => message });
   box = new Switchboard(clock, TIMES, { pointsman: sessions.serve }, silentLog);
   await box.listen("127.3.0.1", port);
   for (let number = 1; number <= count; number += 1) {
     const board = new Board(clock);
     const feeder = new Feeder(clock, board, () => false);
     const ip = `127.3.1.${number}`;
-    const taker = new Taker({ name: `n${number}`, cell: "c1", relay: `${ip}:${port + 1}`, seeds: [boxId], signalPort: port, clock, times: TIMES, board, log: silentLog });
+    const taker = new Taker({ name: `n${number}`, cell: "c1", role: "pointsman", relay: `${ip}:${port + 1}`, seeds: [boxId], signalPort: port, clock, times: TIMES, board, log: silentLog });
     const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
       if (!taker.isFed) return;
       feeder.adopt(wire);
--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -42,6 +42,14 @@
   withstandMachines: 1,
   retryRatio: 0.2,
   retrySlack: 50,
+  deployment: "",
+  diskMb: 64,
+  stretchUs: 5_000_000,
+  keyWindowUs: 60_000_000,
+  purgeUs: 2_000_000,
+  staleSlackUs: 2_000_000,
+  ceilingWindowUs: 5_000_000,
+  ceilingExcess: 1.1,
   rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
 });
 
--- a/features/support/copies.ts
+++ b/features/support/copies.ts
@@ -3,6 +3,8 @@
 import { join } from "node:path";
 import { Archive } from "../../src/interlocking/archive.js";
 import { Duty } from "../../src/interlocking/duty.js";
+import { KeyBook, type Purge } from "../../src/interlocking/keybook.js";
+import { Keys } from "../../src/interlocking/keys.js";
 import { Ledger } from "../../src/interlocking/ledger.js";
 import { Registers } from "../../src/interlocking/register.js";
 import { silentLog } from "../../src/trackbed/log.js";
@@ -13,8 +15,13 @@
   readonly id: string;
   readonly ledger: Ledger;
   readonly duty: Duty;
+  readonly keys: Keys;
+  readonly book: KeyBook;
+  readonly learned: Purge[];
 }
 
+export const KEY_WINDOW_US = 60_000_000;
+
 /** Several signalboxes' control state over a net of the test's own, with real files for disks. */
 export class Copies {
   readonly clock = new ManualClock();
@@ -22,7 +29,7 @@
   readonly running = new Map<string, Copy>();
   private readonly folders = new Map<string, string>();
 
-  constructor(readonly ids: readonly string[], private readonly withstandMachines = 1) {}
+  constructor(readonly ids: readonly string[], private readonly withstandMachines = 1, private readonly diskBytes = 8_000_000) {}
 
   readonly startAll = async (): Promise<void> => {
     for (const id of this.ids) await this.start(id, true);
@@ -59,7 +66,21 @@
       patienceUs: 1_500_000,
     });
     await ledger.start(firstRun);
-    const copy = { id, ledger, duty };
+    const book = new KeyBook({ folder: join(folder, "keys"), clock: this.clock, keyWindowUs: KEY_WINDOW_US, diskBytes: this.diskBytes });
+    const learned: Purge[] = [];
+    const keys = new Keys({
+      self: id,
+      book,
+      ledger,
+      ask: asker.ask,
+      stands: (to) => this.reaches(id, to),
+      send: asker.send,
+      withstandMachines: this.withstandMachines,
+      log: silentLog,
+      onPurge: (purge) => learned.push(purge),
+    });
+    await keys.start(firstRun);
+    const copy = { id, ledger, duty, keys, book, learned };
     this.running.set(id, copy);
     return copy;
   };
@@ -81,6 +102,7 @@
     copy?.duty.stop();
     this.running.delete(id);
     await copy?.ledger.safe();
+    await copy?.book.stop();
     await settle(4);
   };
 
@@ -101,7 +123,8 @@
 
   private readonly carry = async (from: string, to: string, message: Message): Promise<Message | undefined> => {
     if (!this.reaches(from, to)) return undefined;
-    const { ledger, duty } = this.copy(to);
+    const { ledger, duty, keys } = this.copy(to);
+    if (message.kind.startsWith("key-")) return keys.answer(message);
     switch (message.kind) {
       case "settled":
         ledger.hearSettled(message);
--- /dev/null
+++ b/src/goods/copies.ts
@@ -0,0 +1,131 @@
+import { LRUCache } from "lru-cache";
+import type { Clock } from "../trackbed/clock.js";
+import { asRec, list, text, textOf, whole, type Rec } from "../trackbed/shape.js";
+
+/** An object as a worker gave it, whole and checked. */
+export interface Copy {
+  readonly service: string;
+  readonly host: string;
+  /** The path with its query. */
+  readonly url: string;
+  readonly status: number;
+  readonly heads: readonly string[];
+  readonly etag: string;
+  readonly labels: readonly string[];
+  readonly body: Buffer;
+  /** Invariant: no later than the moment, on this process's clock, at which the worker still had this version. */
+  readonly bornUs: number;
+}
+
+/** What ends the copies it names. */
+export interface PurgeNote {
+  readonly id: string;
+  readonly host: string;
+  readonly path: string;
+  readonly label: string;
+  readonly learnedUs: number;
+}
+
+const OVERHEAD_BYTES = 512;
+
+const pathOf = (url: string): string => url.split("?")[0] ?? url;
+
+export const keyOf = (what: { readonly service: string; readonly host: string; readonly url: string }): string => `${what.service}\n${what.host}\n${what.url}`;
+
+const namesUrl = (purge: PurgeNote, host: string, url: string): boolean =>
+  purge.label === "" && purge.host === host && (purge.path === url || purge.path === pathOf(url));
+
+/** Copies travel with their age, to which every hop adds; so it is an upper bound, on steady clocks alone. */
+export const packCopy = (copy: Copy, nowUs: number): Rec => ({
+  status: copy.status,
+  heads: copy.heads,
+  etag: copy.etag,
+  labels: copy.labels,
+  body: copy.body,
+  ageUs: nowUs - copy.bornUs,
+});
+
+/** `askedUs` is when it was asked for, so the way counts as age too. */
+export const readCopy = (value: unknown, what: { readonly service: string; readonly host: string; readonly url: string }, askedUs: number): Copy => {
+  const rec = asRec(value, "copy");
+  const body = rec["body"];
+  return {
+    service: what.service,
+    host: what.host,
+    url: what.url,
+    status: whole(rec, "status"),
+    heads: list(rec, "heads", textOf),
+    etag: text(rec, "etag"),
+    labels: list(rec, "labels", textOf),
+    body: body instanceof Uint8Array ? Buffer.from(body) : Buffer.alloc(0),
+    bornUs: askedUs - whole(rec, "ageUs"),
+  };
+};
+
+/**
+ * The copies one process keeps, in memory alone, since their age could not be known across a restart.
+ * Invariant: none is kept, or taken, that a purge names and that was born before this process learned of the purge.
+ */
+export class Copies {
+  private readonly kept: LRUCache<string, Copy>;
+  private readonly purges = new Map<string, PurgeNote>();
+  dropped = 0;
+
+  constructor(private readonly clock: Clock, roomBytes: number, private readonly mostBytes = roomBytes / 4) {
+    this.kept = new LRUCache<string, Copy>({ maxSize: Math.max(1, Math.floor(roomBytes)), sizeCalculation: (copy) => copy.body.length + OVERHEAD_BYTES });
+  }
+
+  get size(): number {
+    return this.kept.size;
+  }
+
+  get bytes(): number {
+    return this.kept.calculatedSize;
+  }
+
+  readonly get = (key: string): Copy | undefined => this.kept.get(key);
+
+  /** False if a purge covers it. One too large for the room is not kept, but still good. */
+  readonly put = (copy: Copy): boolean => {
+    if (this.coveredUs(copy) !== undefined) return false;
+    if (copy.etag !== "" && copy.body.length <= this.mostBytes) this.kept.set(keyOf(copy), copy);
+    return true;
+  };
+
+  /** When the last purge was learned that ends this copy, or undefined. */
+  readonly coveredUs = (copy: Copy): number | undefined => {
+    let lastUs: number | undefined;
+    this.purges.forEach((purge) => {
+      const names = purge.label === "" ? namesUrl(purge, copy.host, copy.url) : copy.labels.includes(purge.label);
+      if (names && copy.bornUs <= purge.learnedUs) lastUs = Math.max(lastUs ?? 0, purge.learnedUs);
+    });
+    return lastUs;
+  };
+
+  /** When the last purge was learned that names this address. */
+  readonly purgedUs = (host: string, url: string): number | undefined => {
+    let lastUs: number | undefined;
+    this.purges.forEach((purge) => {
+      if (namesUrl(purge, host, url)) lastUs = Math.max(lastUs ?? 0, purge.learnedUs);
+    });
+    return lastUs;
+  };
+
+  /** False if it is known already. */
+  readonly purge = (purge: Omit<PurgeNote, "learnedUs">): boolean => {
+    if (this.purges.has(purge.id)) return false;
+    this.purges.set(purge.id, { ...purge, learnedUs: this.clock.nowUs() });
+    this.kept.forEach((copy, key) => {
+      if (this.coveredUs(copy) === undefined) return;
+      this.kept.delete(key);
+      this.dropped += 1;
+    });
+    return true;
+  };
+
+  readonly forget = (purgeId: string): void => {
+    this.purges.delete(purgeId);
+  };
+
+  readonly clear = (): void => this.kept.clear();
+}
--- /dev/null
+++ b/src/goods/counter.ts
@@ -0,0 +1,80 @@
+import { within, type Clock } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { flag, text, whole, type Rec } from "../trackbed/shape.js";
+import { MS } from "../trackbed/span.js";
+import type { Message, Wire } from "../trackbed/wire.js";
+import { packCopy } from "./copies.js";
+import { cutOf } from "./range.js";
+import type { RateShare } from "./rate.js";
+import type { Store, Want } from "./store.js";
+
+/** Larger objects go out cut to the range asked for, and are not kept by who asks. */
+export const SMALL_BYTES = 64 * 1024;
+
+const readWant = (message: Message, nowUs: number): Want => ({
+  service: text(message, "service"),
+  host: text(message, "host"),
+  url: text(message, "url"),
+  cacheForUs: whole(message, "cacheForUs"),
+  mostAgeUs: whole(message, "mostAgeUs"),
+  aimUs: whole(message, "aimUs"),
+  untilUs: nowUs + whole(message, "leftUs"),
+});
+
+export const packWant = (want: Want, nowUs: number, range: string | undefined): Message => ({
+  kind: "want",
+  service: want.service,
+  host: want.host,
+  url: want.url,
+  cacheForUs: want.cacheForUs,
+  mostAgeUs: want.mostAgeUs,
+  aimUs: want.aimUs,
+  leftUs: Math.max(0, want.untilUs - nowUs),
+  ...(range === undefined ? {} : { range }),
+});
+
+export interface CounterOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly rate: RateShare;
+  readonly log: Log;
+}
+
+/** Where a depot gives objects out to pointsmen. */
+export class Counter {
+  constructor(private readonly options: CounterOptions) {}
+
+  readonly serve = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+    wire.send({ kind: "welcome" });
+    for await (const message of incoming) {
+      void this.answer(message, () => wire.send({ kind: "wait" }))
+        .then((reply) => wire.send({ kind: "got", ...reply, re: whole(message, "ask") }))
+        .catch((mishap: unknown) => this.options.log.warn(`A want failed: ${String(mishap)}.`));
+    }
+  };
+
+  private readonly answer = async (message: Message, sayWait: () => void): Promise<Rec> => {
+    const { clock, store, rate } = this.options;
+    if (message.kind === "permit") return { yes: rate.spend(text(message, "service")).ok };
+    const want = readWant(message, clock.nowUs());
+    const kept = store.peek(want);
+    const found = kept ? await store.get(want) : await this.fetch(want, sayWait);
+    if (found.kind === "none") return { none: found.why, comeBackUs: found.comeBackUs };
+    const { copy } = found;
+    const packed = packCopy(copy, clock.nowUs());
+    const cut = copy.status === 200 && copy.body.length > SMALL_BYTES ? cutOf(typeof message["range"] === "string" ? message["range"] : undefined, copy.body.length) : { kind: "whole" as const };
+    if (cut.kind === "whole") return { copy: packed };
+    if (cut.kind === "past") return { copy: { ...packed, body: Buffer.alloc(0) }, cut: { kind: "past", size: copy.body.length } };
+    return { copy: { ...packed, body: copy.body.subarray(cut.from, cut.to + 1) }, cut: { kind: "part", from: cut.from, to: cut.to, size: copy.body.length } };
+  };
+
+  private readonly fetch = (want: Want, sayWait: () => void): ReturnType<Store["get"]> => {
+    const found = this.options.store.get(want);
+    void within(this.options.clock, 20 * MS, found, undefined).then((early) => {
+      if (!early) sayWait();
+    });
+    return found;
+  };
+}
+
+export const isPermitted = (reply: Message | undefined): boolean => reply !== undefined && flag(reply, "yes");
--- /dev/null
+++ b/src/goods/depots.ts
@@ -0,0 +1,90 @@
+import { crc32 } from "node:zlib";
+import { within, type Clock } from "../trackbed/clock.js";
+import { MS, SECOND } from "../trackbed/span.js";
+import { splitAddress } from "../trackbed/settings.js";
+import type { Message } from "../trackbed/wire.js";
+import { Link } from "../signalling/link.js";
+
+export interface DepotAt {
+  readonly address: string;
+  readonly cell: string;
+}
+
+const TIMES = { pulseUs: 700 * MS, silenceUs: 1_600 * MS };
+const DIAL_US = 500 * MS;
+const REST_US = 300 * MS;
+/** A depot says at once when it has to fetch; one that says nothing for so long is doubtful. */
+const PATIENCE_US = 300 * MS;
+const DOUBT_US = 1 * SECOND;
+
+interface Depot {
+  readonly link: Link;
+  heardUs: number;
+  doubtfulUntilUs: number;
+}
+
+/** Links to the depots. Each object has a first depot, a second and so on, by rendezvous over those that are known. */
+export class Depots {
+  private readonly depots = new Map<string, Depot>();
+
+  constructor(private readonly clock: Clock) {}
+
+  get anyStands(): boolean {
+    return [...this.depots.values()].some(({ link }) => link.stands);
+  }
+
+  readonly learn = (told: readonly DepotAt[]): void => {
+    const wanted = new Set(told.map(({ address }) => address));
+    this.depots.forEach((depot, address) => {
+      if (wanted.has(address)) return;
+      depot.link.stop();
+      this.depots.delete(address);
+    });
+    wanted.forEach((address) => {
+      if (!this.depots.has(address)) this.open(address);
+    });
+  };
+
+  readonly stop = (): void => this.depots.forEach(({ link }) => link.stop());
+
+  /** Asks the object's depot, and the next one in rank where it is doubtful; undefined when none answers in time. */
+  readonly ask = async (key: string, message: Message, waitUs: number): Promise<Message | undefined> => {
+    const { clock } = this;
+    const untilUs = clock.nowUs() + waitUs;
+    const ranked = this.rank(key);
+    for (const depot of ranked) {
+      const askedUs = clock.nowUs();
+      if (askedUs >= untilUs) return undefined;
+      const reply = depot.link.ask(message, untilUs - askedUs);
+      const early = await within(clock, Math.min(PATIENCE_US, untilUs - askedUs), reply, "nothing" as const);
+      if (early === "nothing") {
+        const late = depot.heardUs >= askedUs || depot === ranked[ranked.length - 1] ? await reply : undefined;
+        if (late) return late;
+        depot.doubtfulUntilUs = clock.nowUs() + DOUBT_US;
+      } else if (early) {
+        depot.heardUs = clock.nowUs();
+        return early;
+      }
+    }
+    return undefined;
+  };
+
+  private readonly rank = (key: string): readonly Depot[] => {
+    const nowUs = this.clock.nowUs();
+    const standing = [...this.depots].filter(([, { link }]) => link.stands);
+    const scored = standing.map(([address, depot]) => ({ depot, score: crc32(`${key}\n${address}`) - (nowUs < depot.doubtfulUntilUs ? 2 ** 33 : 0) }));
+    return scored.sort((a, b) => b.score - a.score).map(({ depot }) => depot);
+  };
+
+  private readonly open = (address: string): void => {
+    const { clock } = this;
+    const { ip, port } = splitAddress(address);
+    const link = new Link({ ip, port, clock, times: TIMES, dialUs: DIAL_US, restUs: REST_US, hello: () => ({ kind: "goods" }) });
+    const depot: Depot = { link, heardUs: 0, doubtfulUntilUs: 0 };
+    link.events.on("message", () => {
+      depot.heardUs = clock.nowUs();
+    });
+    this.depots.set(address, depot);
+    void link.run();
+  };
+}
--- /dev/null
+++ b/src/goods/freshness.ts
@@ -0,0 +1,36 @@
+import type { Clock } from "../trackbed/clock.js";
+import { MS } from "../trackbed/span.js";
+
+export interface FreshnessOptions {
+  readonly clock: Clock;
+  /** The bound within which a purge takes effect after its acknowledgement. */
+  readonly purgeUs: number;
+  /** How much longer while the core is unsettled, which a lost session tells of. */
+  readonly stretchUs: number;
+  readonly isFed: () => boolean;
+}
+
+/** Kept back of the bound for the ways the news travels, whose time nobody sees. */
+const MARGIN_US = 700 * MS;
+const STRETCH_PART = 0.5;
+
+/**
+ * How old the news of purges may be here.
+ * Invariant: every purge that was acknowledged before `asOfUs`, less the way of the news, is known to this process.
+ */
+export class Freshness {
+  private asOfUs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: FreshnessOptions) {}
+
+  readonly hear = (ageUs: number): void => {
+    this.asOfUs = Math.max(this.asOfUs, this.options.clock.nowUs() - ageUs);
+  };
+
+  readonly ageUs = (): number => this.options.clock.nowUs() - this.asOfUs;
+
+  readonly isFresh = (): boolean => {
+    const { purgeUs, stretchUs, isFed } = this.options;
+    return this.ageUs() <= purgeUs - MARGIN_US + (isFed() ? 0 : stretchUs * STRETCH_PART);
+  };
+}
--- /dev/null
+++ b/src/goods/goods.ts
@@ -0,0 +1,130 @@
+import type { Clock } from "../trackbed/clock.js";
+import { isRec, text, whole, type Rec } from "../trackbed/shape.js";
+import { MS } from "../trackbed/span.js";
+import { Copies, keyOf, readCopy, type Copy } from "./copies.js";
+import { isPermitted, packWant, SMALL_BYTES } from "./counter.js";
+import type { Depots } from "./depots.js";
+import type { Origin } from "./origin.js";
+import { cutOf, type Cut } from "./range.js";
+import type { RateShare } from "./rate.js";
+import { Store, type Found, type Want } from "./store.js";
+
+export type Served =
+  | { readonly kind: "served"; readonly status: number; readonly heads: readonly string[]; readonly body: Buffer }
+  | { readonly kind: "none"; readonly why: "rate" | "full" | "late"; readonly comeBackUs: number };
+
+export interface GoodsOptions {
+  readonly clock: Clock;
+  readonly roomBytes: number;
+  readonly depots: Depots;
+  readonly origin: Origin;
+  readonly rate: RateShare;
+  readonly isFresh: () => boolean;
+  readonly slackUs: number;
+}
+
+type Got = { readonly copy: Copy; readonly cut: Cut; readonly size: number };
+
+const MOST_ROUNDS = 3;
+const PERMIT_WAIT_US = 100 * MS;
+type None = Extract<Found, { readonly kind: "none" }>;
+const FULL: None = { kind: "none", why: "full", comeBackUs: 100 * MS };
+
+const readCut = (value: unknown): { readonly cut: Cut; readonly size: number } | undefined => {
+  if (!isRec(value)) return undefined;
+  const size = whole(value, "size");
+  return { size, cut: text(value, "kind") === "past" ? { kind: "past" } : { kind: "part", from: whole(value, "from"), to: whole(value, "to") } };
+};
+
+/** A pointsman's way to objects: a small store of its own, then the depots, and without any of them the origin itself. */
+export class Goods {
+  readonly copies: Copies;
+  private readonly store: Store;
+
+  constructor(private readonly options: GoodsOptions) {
+    const { clock, roomBytes, isFresh, slackUs } = options;
+    this.copies = new Copies(clock, roomBytes, SMALL_BYTES);
+    this.store = new Store({ clock, copies: this.copies, isFresh, slackUs, source: this.source });
+  }
+
+  readonly detach = (): void => this.store.detach();
+
+  readonly tell = (): Rec => ({
+    ...this.store.counts,
+    copies: this.copies.size,
+    bytes: this.copies.bytes,
+    droppedByPurges: this.copies.dropped,
+    fetches: this.options.origin.fetches,
+    checks: this.options.origin.checks,
+    refusedForRate: this.options.origin.noRate,
+    share: this.options.rate.share,
+  });
+
+  readonly fetch = async (want: Want, range: string | undefined): Promise<Served> => {
+    const { depots } = this.options;
+    if (range !== undefined && this.store.peek(want) === undefined && depots.anyStands) {
+      const got = await this.part(want, range);
+      return "copy" in got ? this.served(got) : got;
+    }
+    const found = await this.store.get(want);
+    if (found.kind === "none") return found;
+    const { copy } = found;
+    const size = copy.body.length;
+    const cut = copy.status === 200 ? cutOf(range, size) : { kind: "whole" as const };
+    const body = cut.kind === "part" ? copy.body.subarray(cut.from, cut.to + 1) : copy.body;
+    return this.served({ copy: { ...copy, body }, cut, size });
+  };
+
+  /** Whether one more request may go to a service with a rate: of this node's share, or of a depot's. */
+  readonly permit = async (service: string): Promise<boolean> => {
+    const { depots, rate } = this.options;
+    if (!depots.anyStands) return rate.spend(service).ok;
+    return isPermitted(await depots.ask(service, { kind: "permit", service }, PERMIT_WAIT_US));
+  };
+
+  private readonly source = async (want: Want, old: Copy | undefined): Promise<Found> => {
+    const { depots, origin } = this.options;
+    if (!depots.anyStands) return origin.fetch(want, old);
+    const got = await this.ask(want, undefined);
+    return "copy" in got ? { kind: "found", copy: got.copy } : got;
+  };
+
+  /** A part comes straight from a depot; whatever a purge covers meanwhile is asked for anew. */
+  private readonly part = async (want: Want, range: string): Promise<Got | None> => {
+    const { clock } = this.options;
+    let { mostAgeUs } = want;
+    for (let round = 0; round < MOST_ROUNDS; round += 1) {
+      const purgedUs = this.copies.purgedUs(want.host, want.url);
+      if (purgedUs !== undefined) mostAgeUs = Math.min(mostAgeUs, clock.nowUs() - purgedUs);
+      const got = await this.ask({ ...want, mostAgeUs }, range);
+      if (!("copy" in got)) return got;
+      const coveredUs = this.copies.coveredUs(got.copy);
+      if (coveredUs === undefined) return got;
+      mostAgeUs = Math.min(mostAgeUs, clock.nowUs() - coveredUs);
+    }
+    return FULL;
+  };
+
+  private readonly ask = async (want: Want, range: string | undefined): Promise<Got | None> => {
+    const { clock, depots } = this.options;
+    const askedUs = clock.nowUs();
+    const reply = await depots.ask(keyOf(want), packWant(want, askedUs, range), want.untilUs - askedUs);
+    if (!reply) return FULL;
+    if (reply["copy"] === undefined) {
+      return { kind: "none", why: reply["none"] === "rate" ? "rate" : "full", comeBackUs: typeof reply["comeBackUs"] === "number" ? reply["comeBackUs"] : FULL.comeBackUs };
+    }
+    const copy = readCopy(reply["copy"], want, askedUs);
+    const told = readCut(reply["cut"]);
+    if (told) return { copy, ...told };
+    const cut = copy.status === 200 ? cutOf(range, copy.body.length) : { kind: "whole" as const };
+    if (range === undefined) return { copy, cut, size: copy.body.length };
+    this.copies.put(copy);
+    return { copy: cut.kind === "part" ? { ...copy, body: copy.body.subarray(cut.from, cut.to + 1) } : copy, cut, size: copy.body.length };
+  };
+
+  private readonly served = ({ copy, cut, size }: Got): Served => {
+    if (cut.kind === "whole") return { kind: "served", status: copy.status, heads: copy.heads, body: copy.body };
+    if (cut.kind === "past") return { kind: "served", status: 416, heads: [...copy.heads, "Content-Range", `bytes */${size}`], body: Buffer.alloc(0) };
+    return { kind: "served", status: 206, heads: [...copy.heads, "Content-Range", `bytes ${cut.from}-${cut.to}/${size}`], body: copy.body };
+  };
+}
--- /dev/null
+++ b/src/goods/origin.ts
@@ -0,0 +1,157 @@
+import { randomBytes } from "node:crypto";
+import { rest, within, type Clock } from "../trackbed/clock.js";
+import { MS } from "../trackbed/span.js";
+import { WorkerCall, type Answer, type CallVerdict } from "../traction/call.js";
+import type { Allowance } from "../traction/allowance.js";
+import type { Chooser } from "../traction/choose.js";
+import { headOf, LABELS, passOn, TRY_ID } from "../traction/heads.js";
+import type { Worker, Yard } from "../traction/yard.js";
+import type { Copy } from "./copies.js";
+import type { RateShare } from "./rate.js";
+import type { Found, Want } from "./store.js";
+
+export interface OriginOptions {
+  readonly clock: Clock;
+  readonly yard: Yard;
+  readonly chooser: Chooser;
+  readonly rate: RateShare;
+  readonly allowanceOf: (service: string) => Allowance;
+  readonly countFault: (worker: string, isFault: boolean) => void;
+  /** The largest object that is read whole. */
+  readonly mostBytes: number;
+}
+
+const TRIES = 3;
+const LOOK_US = 15 * MS;
+const SILENCE_CHECK_US = 120 * MS;
+/** The parts of the aim for which a fetch waits for its turn, and for room at a worker. */
+const TURN_PART = 0.4;
+const ROOM_PART = 0.25;
+const NOT_KEPT: ReadonlySet<string> = new Set([TRY_ID, "content-length", "date", "yewreel-worker-load"]);
+
+/** Reads objects from the workers of a service, within this process's share of the service's rate. */
+export class Origin {
+  checks = 0;
+  fetches = 0;
+  noRate = 0;
+  /** Who waits for a turn, by service; the first comes first. */
+  private readonly lines = new Map<string, number>();
+
+  constructor(private readonly options: OriginOptions) {}
+
+  readonly fetch = async (want: Want, old: Copy | undefined): Promise<Found> => {
+    const { clock, allowanceOf } = this.options;
+    const tried = new Set<string>();
+    let bad: Copy | undefined;
+    for (let round = 0; round < TRIES; round += 1) {
+      if (round > 0 && !allowanceOf(want.service).spend()) break;
+      const turn = await this.turn(want);
+      if (turn !== undefined) return bad ? { kind: "found", copy: bad } : turn;
+      if (round === 0) allowanceOf(want.service).count();
+      const worker = await this.worker(want, tried);
+      if (!worker) break;
+      tried.add(worker.id);
+      const beganUs = clock.nowUs();
+      const verdict = await this.call(want, old, worker);
+      if (verdict.kind !== "answered") continue;
+      const { answer } = verdict;
+      if (answer.status === 304 && old) return { kind: "found", copy: { ...old, bornUs: beganUs } };
+      const body = await this.whole(answer);
+      if (!body) continue;
+      const copy = this.copyOf(want, answer, body, beganUs);
+      if (answer.status < 500) return { kind: "found", copy };
+      bad = copy;
+    }
+    return bad ? { kind: "found", copy: bad } : { kind: "none", why: "full", comeBackUs: want.aimUs / 4 };
+  };
+
+  /** Waits for one request's worth of the rate; at once says none where it would come too late. */
+  private readonly turn = async (want: Want): Promise<Found | undefined> => {
+    const { clock, rate } = this.options;
+    const untilUs = Math.min(clock.nowUs() + want.aimUs * TURN_PART, want.untilUs);
+    const before = this.lines.get(want.service) ?? 0;
+    const first = before === 0 ? rate.spend(want.service) : rate.delay(want.service);
+    if (first.ok) return undefined;
+    const none: Found = { kind: "none", why: "rate", comeBackUs: first.waitUs * (before + 1) };
+    if (clock.nowUs() + first.waitUs * (before + 1) > untilUs) {
+      this.noRate += 1;
+      return none;
+    }
+    this.lines.set(want.service, before + 1);
+    try {
+      while (clock.nowUs() < untilUs) {
+        await rest(clock, LOOK_US);
+        if (rate.spend(want.service).ok) return undefined;
+      }
+      this.noRate += 1;
+      return none;
+    } finally {
+      this.lines.set(want.service, (this.lines.get(want.service) ?? 1) - 1);
+    }
+  };
+
+  private readonly worker = async (want: Want, tried: ReadonlySet<string>): Promise<Worker | undefined> => {
+    const { clock, chooser } = this.options;
+    const untilUs = Math.min(clock.nowUs() + want.aimUs * ROOM_PART, want.untilUs);
+    for (;;) {
+      const worker = chooser.choose(want.service, tried, want.aimUs);
+      if (worker || clock.nowUs() >= untilUs) return worker;
+      await rest(clock, LOOK_US);
+    }
+  };
+
+  private readonly call = async (want: Want, old: Copy | undefined, worker: Worker): Promise<CallVerdict> => {
+    const { clock, countFault, yard } = this.options;
+    const tryId = randomBytes(8).toString("hex");
+    const leftMs = Math.max(1, Math.floor((want.untilUs - clock.nowUs()) / MS));
+    const heads = ["Host", want.host, "Yewreel-Try-Id", tryId, "Yewreel-Time-Left-Ms", String(leftMs), "Yewreel-Expect-Worker", worker.id];
+    if (old && old.etag !== "") {
+      heads.push("If-None-Match", old.etag);
+      this.checks += 1;
+    } else this.fetches += 1;
+    const call = new WorkerCall(worker, { method: "GET", path: want.url, heads, body: null, tryId, alone: true, hold: () => true }, clock.nowUs);
+    let verdict: CallVerdict | undefined;
+    while (verdict === undefined) {
+      verdict = await within(clock, SILENCE_CHECK_US, call.verdict, undefined);
+      if (verdict === undefined && (worker.isSilent() || clock.nowUs() > want.untilUs)) {
+        call.cancel();
+        verdict = { kind: "lost", why: "silence" };
+      }
+    }
+    if (verdict.kind === "not-run" && verdict.why === "other-worker") yard.misdirected(worker);
+    const isOut = verdict.kind === "lost" || (verdict.kind === "not-run" && (verdict.why === "unreachable" || verdict.why === "refused"));
+    if (isOut) worker.shun();
+    countFault(worker.id, isOut);
+    return verdict;
+  };
+
+  /** All of the body, or undefined where it broke off or is too large. */
+  private readonly whole = (answer: Answer): Promise<Buffer | undefined> => {
+    const { rest: more, start } = answer;
+    if (!more) return Promise.resolve(start);
+    const chunks = [start];
+    let size = start.length;
+    return new Promise((resolve) => {
+      more.flow(
+        (chunk) => {
+          size += chunk.length;
+          if (size <= this.options.mostBytes) chunks.push(chunk);
+          return true;
+        },
+        (isWhole) => resolve(isWhole && size <= this.options.mostBytes ? Buffer.concat(chunks) : undefined),
+      );
+    });
+  };
+
+  private readonly copyOf = (want: Want, answer: Answer, body: Buffer, beganUs: number): Copy => ({
+    service: want.service,
+    host: want.host,
+    url: want.url,
+    status: answer.status,
+    heads: passOn(answer.heads, NOT_KEPT),
+    etag: answer.status === 200 ? (headOf(answer.heads, "etag") ?? "") : "",
+    labels: (headOf(answer.heads, LABELS) ?? "").split(" ").filter((label) => label !== ""),
+    body,
+    bornUs: beganUs,
+  });
+}
--- /dev/null
+++ b/src/goods/store.ts
@@ -0,0 +1,120 @@
+import { within, type Clock } from "../trackbed/clock.js";
+import { keyOf, type Copies, type Copy } from "./copies.js";
+
+/** An object that is asked for, and how old a copy of it may be. */
+export interface Want {
+  readonly service: string;
+  readonly host: string;
+  readonly url: string;
+  readonly cacheForUs: number;
+  /** Invariant: at most `cacheForUs`. */
+  readonly mostAgeUs: number;
+  readonly aimUs: number;
+  /** Until when an answer is of use, on this process's clock. */
+  readonly untilUs: number;
+}
+
+export type Found =
+  | { readonly kind: "found"; readonly copy: Copy }
+  /** Nobody ran it, and it may be asked for again after a while. */
+  | { readonly kind: "none"; readonly why: "rate" | "full" | "late"; readonly comeBackUs: number };
+
+/** Where an object comes from on a miss; `old` is a copy that may still be the newest. */
+export type Source = (want: Want, old: Copy | undefined) => Promise<Found>;
+
+export interface StoreOptions {
+  readonly clock: Clock;
+  readonly copies: Copies;
+  /** Whether the news is so new that a copy no purge names may be served. */
+  readonly isFresh: () => boolean;
+  readonly source: Source;
+  /** How far beyond its age a copy may be used when nothing else is to be had. */
+  readonly slackUs: number;
+}
+
+export interface StoreCounts {
+  hits: number;
+  misses: number;
+  joined: number;
+  refused: number;
+}
+
+interface Running {
+  readonly want: Want;
+  readonly beganUs: number;
+  readonly found: Promise<Found>;
+}
+
+const MOST_ROUNDS = 3;
+
+/**
+ * Copies with a source behind them. Simultaneous misses share one fetch.
+ * Invariant: what `get` gives was born after every purge naming it that was known when `get` was called.
+ */
+export class Store {
+  readonly counts: StoreCounts = { hits: 0, misses: 0, joined: 0, refused: 0 };
+  private readonly running = new Map<string, Running>();
+
+  constructor(private readonly options: StoreOptions) {}
+
+  /** A copy that may be given at once. */
+  readonly peek = (want: Want): Copy | undefined => {
+    const { clock, copies, isFresh } = this.options;
+    const copy = copies.get(keyOf(want));
+    return copy && clock.nowUs() - copy.bornUs <= want.mostAgeUs && isFresh() ? copy : undefined;
+  };
+
+  readonly get = async (want: Want): Promise<Found> => {
+    const { clock } = this.options;
+    const copy = this.peek(want);
+    if (copy) {
+      this.counts.hits += 1;
+      return { kind: "found", copy };
+    }
+    const key = keyOf(want);
+    const running = this.running.get(key);
+    const joins = running !== undefined && clock.nowUs() - running.beganUs <= want.mostAgeUs && running.want.mostAgeUs <= want.mostAgeUs;
+    if (joins) this.counts.joined += 1;
+    else this.counts.misses += 1;
+    const found = await within(clock, want.untilUs - clock.nowUs(), joins ? running.found : this.begin(key, want), late);
+    if (found.kind === "found") return found;
+    this.counts.refused += 1;
+    return this.lastResort(want) ?? found;
+  };
+
+  /** On learning of a purge: what runs already serves who waits for it, and nobody who comes later. */
+  readonly detach = (): void => this.running.clear();
+
+  private readonly begin = (key: string, want: Want): Promise<Found> => {
+    const running: Running = { want, beganUs: this.options.clock.nowUs(), found: this.fetch(want) };
+    this.running.set(key, running);
+    const over = () => {
+      if (this.running.get(key) === running) this.running.delete(key);
+    };
+    running.found.then(over, over);
+    return running.found;
+  };
+
+  private readonly fetch = async (want: Want): Promise<Found> => {
+    const { copies, source, clock } = this.options;
+    let mostAgeUs = want.mostAgeUs;
+    for (let round = 0; round < MOST_ROUNDS; round += 1) {
+      const purgedUs = copies.purgedUs(want.host, want.url);
+      if (purgedUs !== undefined) mostAgeUs = Math.min(mostAgeUs, clock.nowUs() - purgedUs);
+      const found = await source({ ...want, mostAgeUs }, copies.get(keyOf(want)));
+      if (found.kind === "none" || copies.put(found.copy)) return found;
+      mostAgeUs = Math.min(mostAgeUs, clock.nowUs() - (copies.coveredUs(found.copy) ?? 0));
+    }
+    return late;
+  };
+
+  /** A copy a little beyond its age, where the bound on staleness still has room for it. */
+  private readonly lastResort = (want: Want): Found | undefined => {
+    const { clock, copies, isFresh, slackUs } = this.options;
+    const copy = copies.get(keyOf(want));
+    const usable = copy && isFresh() && want.mostAgeUs === want.cacheForUs && clock.nowUs() - copy.bornUs <= want.cacheForUs + slackUs;
+    return usable ? { kind: "found", copy } : undefined;
+  };
+}
+
+const late: Found = { kind: "none", why: "late", comeBackUs: 100_000 };
--- a/src/interlocking/check.ts
+++ b/src/interlocking/check.ts
@@ -32,6 +32,16 @@
   "plan-version": { validate: version },
   named: { validate: named },
   "span-over-0": { validate: spanOver0 },
+  "span-or-none": {
+    validate: (value: unknown) => {
+      if (value !== "" && parseSpan(value).isErr) throw new Error("must be a span, such as 1500ms");
+    },
+  },
+  rate: {
+    validate: (value: unknown) => {
+      if (typeof value !== "number" || !(value >= 0)) throw new Error("must be a number of 0 or more");
+    },
+  },
   "give-up": {
     validate: (value: unknown) => {
       spanOver0(value);
@@ -60,7 +70,8 @@
     name: { format: "named", default: "" },
     host: { format: "named", default: "" },
     version: { format: "plan-version", default: -1 },
-    routeKind: { format: ["safe", "unsafe"], default: "" },
+    routeKind: { format: ["safe", "unsafe", "cached", "keyed"], default: "" },
+    cacheFor: { format: "span-or-none", default: "" },
     target_time: { format: "span-over-0", default: "" },
     rank: { format: "nat", default: 0 },
     matchOn: { pathStart: { format: "path-start", default: "" } },
@@ -78,6 +89,8 @@
     version: { format: "plan-version", default: -1 },
     statusPath: { format: "path-start", default: "" },
     maxConnections: { format: "nat", default: 0 },
+    ratePerS: { format: "rate", default: 0 },
+    dropsRepeats: { format: Boolean, default: false },
   });
 
 const limitsSchema = () =>
@@ -104,7 +117,7 @@
   const then = asRec(rule["then"], "then");
   const matchOn = asRec(rule["matchOn"], "matchOn");
   const flat = {
-    ...pick(rule, ["name", "version", "routeKind", "target_time", "rank"]),
+    ...pick(rule, ["name", "version", "routeKind", "target_time", "rank", "cacheFor"]),
     ...pick(then, ["giveUp", "tries"]),
     host,
     matchOn: pick(matchOn, ["pathStart"]),
@@ -116,7 +129,7 @@
 
 const serviceRegister = (value: unknown): Register => {
   const group = asRec(value, "group");
-  check(serviceSchema(), pick(group, ["name", "version", "statusPath", "maxConnections"]));
+  check(serviceSchema(), pick(group, ["name", "version", "statusPath", "maxConnections", "ratePerS", "dropsRepeats"]));
   return makeRegister(serviceKey(String(group["name"])), Number(group["version"]), JSON.stringify(group));
 };
 
--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -48,6 +48,9 @@
 export const quorumOf = (members: readonly string[], withstandMachines: number): number =>
   Math.min(members.length, Math.max(Math.floor(members.length / 2) + 1, withstandMachines + 1));
 
+/** As many copies as share a member with every quorum. */
+export const readQuorumOf = (members: readonly string[], withstandMachines: number): number => members.length - quorumOf(members, withstandMachines) + 1;
+
 /**
  * One copy of the control state, and the reads and writes over a quorum of copies.
  * Invariants: a copy answers for a register only once it is safe on its own disk; a copy that may have lost what it
@@ -158,6 +161,8 @@
       async () => this.counting && (await this.safe()),
       () => [this.members().length > 0 ? this.members() : this.options.seeds],
       waitUs,
+      // A copy that lost its own fills no quorum, so where as many are lost as may be, no more than these may be left.
+      this.counting ? quorumOf : readQuorumOf,
     );
     if (gathered.isErr) return err(gathered.error);
     if (!this.counting && (await this.safe())) {
@@ -224,18 +229,19 @@
     own: () => Promise<boolean>,
     rosters: () => readonly (readonly string[])[],
     waitUs: number,
+    neededOf: (members: readonly string[], withstandMachines: number) => number = quorumOf,
   ): Promise<Result<void, LedgerMishap>> => {
     const { self, asker, withstandMachines } = this.options;
     const held = new Set<string>();
     const missing = () =>
-      rosters().find((members) => members.filter((id) => held.has(id)).length < quorumOf(members, withstandMachines) || members.length === 0);
+      rosters().find((members) => members.filter((id) => held.has(id)).length < neededOf(members, withstandMachines) || members.length === 0);
     return new Promise((resolve) => {
       const asked = new Set<string>();
       let open = 0;
       const settle = () => {
         const members = missing();
         if (!members) resolve(ok(undefined));
-        else if (open === 0) resolve(err({ kind: "no-quorum", held: held.size, needed: quorumOf(members, withstandMachines) }));
+        else if (open === 0) resolve(err({ kind: "no-quorum", held: held.size, needed: neededOf(members, withstandMachines) }));
       };
       const askAll = () => {
         const ids = rosters().flat().filter((id) => !asked.has(id));
--- a/src/programs/control.ts
+++ b/src/programs/control.ts
@@ -1,4 +1,4 @@
-import { err, type Result } from "true-myth/result";
+import { err, ok, type Result } from "true-myth/result";
 import { layOut, readCall, unknownService, isPlanKey, type PlanMishap } from "../interlocking/check.js";
 import type { Ledger, LedgerMishap } from "../interlocking/ledger.js";
 import type { Register } from "../interlocking/register.js";
@@ -20,6 +20,24 @@
 const verdictOf = (result: Result<Rec, CallMishap>): Verdict =>
   result.isOk ? { outcome: "taken", body: result.value } : { outcome: result.error.outcome, body: { problem: result.error.sentence } };
 
+/** What a purge names, or a sentence on what is wrong with it. */
+const readPurge = (body: string): Result<{ readonly host: string; readonly path: string; readonly label: string }, string> => {
+  let rec: Rec;
+  try {
+    const value = parseJson(body);
+    if (!isRec(value)) return err("the purge is no JSON table");
+    rec = value;
+  } catch {
+    return err("the purge is no whole JSON table");
+  }
+  const { host, path, label } = rec;
+  if (label !== undefined && host === undefined && path === undefined) return typeof label === "string" && label !== "" ? ok({ host: "", path: "", label }) : err("label must be a text that is not empty");
+  if (label !== undefined) return err("a purge names a host and a path, or a label, not both");
+  if (typeof host !== "string" || host === "") return err("host must be a text that is not empty");
+  if (typeof path !== "string" || !path.startsWith("/")) return err("path must begin with a slash");
+  return ok({ host: host.toLowerCase(), path, label: "" });
+};
+
 export interface ControlOptions {
   readonly ledger: Ledger;
   readonly registry: Registry;
@@ -28,6 +46,8 @@
   readonly share: (beats: readonly Beat[], waits: boolean) => Promise<boolean>;
   /** Where a worker of this cell should send its later beats, if not here. */
   readonly reportTo: (cell: string) => string | undefined;
+  /** Makes a purge durable and sends it out; left out where objects are not kept. */
+  readonly purge?: (what: { readonly host: string; readonly path: string; readonly label: string }) => Promise<boolean>;
 }
 
 /** What changes something. */
@@ -66,6 +86,14 @@
     return (await share([left], true)) ? { outcome: "taken" } : { outcome: "noQuorum" };
   };
 
+  readonly purge = async (call: Call): Promise<Verdict> => {
+    const { purge } = this.options;
+    const read = readPurge(call.body);
+    if (read.isErr) return { outcome: "wrong", body: { problem: read.error } };
+    if (!purge) return { outcome: "unknownCall" };
+    return { outcome: (await purge(read.value)) ? "taken" : "noQuorum" };
+  };
+
   private readonly write = async (call: readonly Register[]): Promise<Result<Rec, CallMishap>> => {
     const { ledger } = this.options;
     const read = await ledger.read();
@@ -125,6 +153,7 @@
   { method: "GET", path: "/plan/read", act: queries.readPlan },
   { method: "POST", path: "/workers/*/heartbeat", act: commands.beat },
   { method: "POST", path: "/workers/*/leave", act: commands.leave },
+  { method: "POST", path: "/purge", act: commands.purge },
   { method: "GET", path: "/tell/*", act: queries.tell },
   { method: "POST", path: "/cells/shift", act: (call) => shiftCell(orders, call) },
   { method: "POST", path: "/rollouts/*/clear", act: (call) => clearRollout(orders, call) },
--- /dev/null
+++ b/src/programs/member.ts
@@ -0,0 +1,47 @@
+import { Board } from "../signalling/board.js";
+import { Feeder } from "../signalling/feeder.js";
+import type { Role } from "../signalling/sessions.js";
+import { Switchboard, type Receiver } from "../signalling/switchboard.js";
+import { Taker } from "../signalling/taker.js";
+import type { Clock } from "../trackbed/clock.js";
+import { logFor } from "../trackbed/log.js";
+import type { Settings } from "../trackbed/settings.js";
+import { MS } from "../trackbed/span.js";
+import type { Message, Wire } from "../trackbed/wire.js";
+
+export const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
+
+export interface Member {
+  readonly board: Board;
+  readonly taker: Taker;
+  readonly relay: Switchboard;
+}
+
+/** A node of the data plane among the others: its session with a signalbox, and its place in the relay tree. */
+export const joinNews = (settings: Settings, clock: Clock, role: Role, receivers: Readonly<Record<string, Receiver>> = {}): Member => {
+  const log = logFor("relay");
+  const board = new Board(clock);
+  const taker = new Taker({
+    name: settings.name,
+    cell: settings.cell,
+    role,
+    relay: `${settings.ip}:${settings.relayPort}`,
+    seeds: settings.seedNodes,
+    signalPort: settings.signalPort,
+    clock,
+    times: TIMES,
+    board,
+    log: logFor("taker"),
+  });
+  const feeder = new Feeder(clock, board, () => false);
+  const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+    if (!taker.isFed) return;
+    feeder.adopt(wire);
+    for await (const message of incoming) log.debug(`A child said ${message.kind}.`);
+    feeder.release(wire);
+  };
+  taker.events.on("crew", feeder.setCrew);
+  taker.events.on("fresh", feeder.setFresh);
+  taker.events.on("unfed", feeder.closeAll);
+  return { board, taker, relay: new Switchboard(clock, TIMES, { child: serveChild, ...receivers }, log) };
+};
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -1,9 +1,6 @@
 import { FaultCounts } from "../inspection/counts.js";
 import { RolloutCounts } from "../inspection/rollout-counts.js";
-import { Board } from "../signalling/board.js";
-import { Feeder, type Crew } from "../signalling/feeder.js";
-import { Switchboard } from "../signalling/switchboard.js";
-import { Taker } from "../signalling/taker.js";
+import type { Crew } from "../signalling/feeder.js";
 import { Allowance } from "../traction/allowance.js";
 import { Front } from "../traction/front.js";
 import { RouteTable } from "../traction/routes.js";
@@ -12,11 +9,11 @@
 import { logFor } from "../trackbed/log.js";
 import type { Settings } from "../trackbed/settings.js";
 import { MS, SECOND } from "../trackbed/span.js";
-import type { Message, Wire } from "../trackbed/wire.js";
 import { serveCalls } from "./dispatch.js";
+import { joinNews } from "./member.js";
+import type { PointsmanGoods, PointsmanGoodsOptions } from "./pointsman-goods.js";
 import type { Running } from "./running.js";
 
-const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
 const MB = 1024 * 1024;
 const DEFAULT_MEMORY_MB = 256;
 /** Bodies held whole take at most this part of the memory. */
@@ -27,10 +24,14 @@
 const NOTICE_US = 2_800 * MS;
 const END_MARGIN_US = 400 * MS;
 
+/** Only a deployment of this kind loads and runs what objects and operation keys need. */
+const CONTENT = "content";
+const openGoods = async (options: PointsmanGoodsOptions): Promise<PointsmanGoods> => (await import("./pointsman-goods.js")).openPointsmanGoods(options);
+
 /** Puts the data plane together on one machine. */
 export const runPointsman = async (settings: Settings, clock: Clock): Promise<Running> => {
   const log = logFor("pointsman");
-  const board = new Board(clock);
+  const { board, taker, relay } = joinNews(settings, clock, "pointsman");
   const table = new RouteTable();
   const yard = new Yard(clock);
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
@@ -54,6 +55,7 @@
   const connectionShare = (service: string): number =>
     Math.max(1, Math.floor((table.service(service)?.maxConnections ?? 16) / Math.max(1, crew.pointsmen)));
 
+  const goods = settings.deployment === CONTENT ? await openGoods({ settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault: counts.count, otherNodes: () => otherNodes }) : undefined;
   const front = new Front({
     clock,
     log: logFor("front"),
@@ -71,28 +73,9 @@
     },
     countRollout: (route, service, stratum, outcome) => rollouts.count(route.name, route.version, service, `${settings.cell}|${stratum}`, outcome),
     random: Math.random,
+    ...(goods ? { goods: goods.goods, desk: goods.desk } : {}),
   });
 
-  const taker = new Taker({
-    name: settings.name,
-    cell: settings.cell,
-    relay: `${settings.ip}:${settings.relayPort}`,
-    seeds: settings.seedNodes,
-    signalPort: settings.signalPort,
-    clock,
-    times: TIMES,
-    board,
-    log: logFor("taker"),
-  });
-  const feeder = new Feeder(clock, board, () => false);
-  const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
-    if (!taker.isFed) return;
-    feeder.adopt(wire);
-    for await (const message of incoming) log.debug(`A child said ${message.kind}.`);
-    feeder.release(wire);
-  };
-  const relay = new Switchboard(clock, TIMES, { child: serveChild }, logFor("relay"));
-
   board.events.on("changed", (facts) => {
     table.take(facts);
     yard.take(facts);
@@ -108,7 +91,6 @@
     crew = told;
     otherNodes = { here: Math.max(0, (told.cells[settings.cell] ?? 1) - 1), everywhere: Math.max(0, told.pointsmen - 1) };
     allowances.forEach((allowance) => allowance.setCrew(told.pointsmen));
-    feeder.setCrew(told);
   });
 
   const isReady = (): boolean => !leaving && table.isHeld && yard.size > 0;
@@ -127,6 +109,7 @@
         },
       }),
     },
+    { method: "GET", path: "/tell/goods", act: async () => ({ outcome: "taken", body: { goods: goods?.goods.tell() ?? {} } }) },
     {
       method: "GET",
       path: "/tell/workers",
@@ -149,7 +132,6 @@
     const message = counts.takeReport();
     if (message) taker.report(message);
     yard.trim();
-    if (!taker.isFed) feeder.closeAll();
   });
   log.info(`Up at ${settings.front}.`);
 
@@ -167,6 +149,7 @@
       }
       report.stop();
       rolloutReport.stop();
+      goods?.stop();
       taker.stop();
       relay.close();
       ready.close();
--- /dev/null
+++ b/src/programs/signalbox-content.ts
@@ -0,0 +1,120 @@
+import { join } from "node:path";
+import { GRANT_LASTS_US, RateOffice } from "../goods/rate.js";
+import type { Duty } from "../interlocking/duty.js";
+import { KeyBook } from "../interlocking/keybook.js";
+import { Keys, readKept } from "../interlocking/keys.js";
+import { STORE_WAIT_US, type Ledger } from "../interlocking/ledger.js";
+import { PURGE_PREFIX, type Board } from "../signalling/board.js";
+import type { Colleagues } from "../signalling/colleagues.js";
+import type { Feeder } from "../signalling/feeder.js";
+import type { Clock } from "../trackbed/clock.js";
+import { logFor } from "../trackbed/log.js";
+import type { Settings } from "../trackbed/settings.js";
+import { text, whole, type Rec } from "../trackbed/shape.js";
+import { MS, SECOND } from "../trackbed/span.js";
+import type { Message } from "../trackbed/wire.js";
+
+export interface ContentOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly ledger: Ledger;
+  readonly colleagues: Colleagues;
+  readonly board: Board;
+  readonly feeder: Feeder;
+  readonly duty: Duty;
+}
+
+export interface Content {
+  readonly start: () => Promise<void>;
+  readonly stop: () => void;
+  /** Answers what a node asks over its session. */
+  readonly answerNode: (message: Message, node: string) => Promise<Message | undefined>;
+  readonly answerColleague: (message: Message) => Promise<Message | undefined>;
+  /** Hears what nodes report. */
+  readonly hear: (message: Message) => void;
+  readonly purge: (what: { readonly host: string; readonly path: string; readonly label: string }) => Promise<boolean>;
+  readonly tellers: Readonly<Record<string, () => unknown>>;
+}
+
+const MB = 1024 * 1024;
+const READ_US = 300 * MS;
+
+/** What a signalbox of a content deployment has besides: operation keys, purges, and shares of the rates. */
+export const openContent = ({ settings, clock, ledger, colleagues, board, feeder, duty }: ContentOptions): Content => {
+  const book = new KeyBook({
+    folder: settings.dataFolder === "" ? "" : join(settings.dataFolder, "keys"),
+    clock,
+    keyWindowUs: settings.keyWindowUs,
+    diskBytes: settings.diskMb * MB,
+  });
+  const keys = new Keys({
+    self: settings.control,
+    book,
+    ledger,
+    ask: colleagues.ask,
+    stands: colleagues.stands,
+    send: colleagues.send,
+    withstandMachines: settings.withstandMachines,
+    log: logFor("keys"),
+    onPurge: ({ id, host, path, label }) => board.post([{ key: PURGE_PREFIX + id, version: 1, tie: "", body: { host, path, label } }]),
+  });
+  const office = new RateOffice(clock);
+  const depots = new Map<string, Rec>();
+
+  const giveHere = (message: Message): Message =>
+    duty.isHolder() && duty.hasMajority()
+      ? { kind: "rate", share: office.give(text(message, "life"), text(message, "who"), whole(message, "held")), lastsUs: GRANT_LASTS_US }
+      : { kind: "rate" };
+  const giveRate = async (message: Message): Promise<Message> =>
+    duty.isHolder() ? giveHere(message) : ((await colleagues.ask(duty.holder(), message, STORE_WAIT_US)) ?? { kind: "rate" });
+
+  /** Learns the purges of a reading quorum, and tells the nodes as of when they know them all. */
+  let reading = false;
+  const read = async (): Promise<void> => {
+    if (reading) return;
+    reading = true;
+    const beganUs = clock.nowUs();
+    if ((await keys.readPurges()) && keys.isCounting) feeder.setFresh(clock.nowUs() - beganUs);
+    reading = false;
+  };
+  const reader = clock.every(READ_US, () => {
+    if (!duty.isHolder()) office.lose();
+    void keys.catchUp();
+    void read();
+  });
+  const sweeper = clock.every(SECOND, () => board.forget(book.sweep().map((id) => PURGE_PREFIX + id)));
+
+  return {
+    start: () => keys.start(settings.firstRun),
+    stop: () => {
+      reader.stop();
+      sweeper.stop();
+    },
+    answerNode: async (message) => {
+      switch (message.kind) {
+        case "key-claim": {
+          const verdict = await keys.claim(text(message, "key"), text(message, "token"));
+          return { kind: "claim", verdict: verdict.kind, ...(verdict.kind === "done" ? { answer: verdict.answer } : {}) };
+        }
+        case "key-done": {
+          const answer = readKept(message["answer"]);
+          return { kind: "claim", kept: answer !== undefined && (await keys.keep(text(message, "key"), text(message, "token"), answer)) };
+        }
+        case "rate-ask":
+          return giveRate(message);
+        default:
+          return undefined;
+      }
+    },
+    answerColleague: async (message) => (message.kind === "rate-ask" ? giveHere(message) : keys.answer(message)),
+    hear: (message) => {
+      if (message.kind === "key-free") keys.free(text(message, "key"), text(message, "token"));
+      if (message.kind === "goods") depots.set(text(message, "node"), { ...message });
+    },
+    purge: keys.purge,
+    tellers: {
+      keys: () => ({ keys: book.size, bytes: book.heldBytes, purges: book.purges().length, counting: keys.isCounting }),
+      goods: () => [...depots.values()],
+    },
+  };
+};
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -22,11 +22,11 @@
 import { flag, list, parseJson, text, asRec } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
+import { TIMES } from "./member.js";
 import { Commands, controlEntries, Queries } from "./control.js";
 import { serveCalls } from "./dispatch.js";
 import type { Running } from "./running.js";
 
-const TIMES = { pulseUs: 300 * MS, silenceUs: 1_000 * MS };
 const SWEEP_US = 1 * SECOND;
 const REMEMBER_US = 500 * MS;
 const EJECTIONS_REGISTER = "duty/ejections";
@@ -101,7 +101,7 @@
   /** Invariant: true once a majority has been read in this life, so that what is fed is never a part of the plan. */
   let hasMended = false;
   const isFit = () => hasMended && !isAdrift();
-  const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes });
+  const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes, answer: (message, node) => answerNode(message, node) });
 
   /** Makes what the duty's holder decided durable under its epoch. */
   const publish = async (key: string, wanted: unknown): Promise<boolean> => {
@@ -161,6 +161,13 @@
     });
   };
 
+  /** Only a deployment of this kind loads and runs what operation keys, purges and rates need. */
+  const content =
+    settings.deployment === "content"
+      ? (await import("./signalbox-content.js")).openContent({ settings, clock, ledger, colleagues, board, feeder, duty })
+      : undefined;
+  const answerNode = async (message: Message, node: string): Promise<Message> => (await content?.answerNode(message, node)) ?? { kind: "unknown" };
+
   const tellCrew = (): void => feeder.setCrew(sessions.crew());
 
   const shiftHere = (cell: string, why: string): Promise<boolean> => (why === "practice" ? inspector.practise(cell) : inspector.shiftByHand(cell));
@@ -217,7 +224,7 @@
         rollouts.take(message);
         return undefined;
       default:
-        return undefined;
+        return content?.answerColleague(message);
     }
   };
   const serveColleague = async (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
@@ -255,6 +262,7 @@
   });
   sessions.events.on("changed", tellCrew);
   sessions.events.on("report", (message) => {
+    content?.hear(message);
     if (message.kind !== "faults" && message.kind !== "rollout") return;
     if (duty.isHolder()) (message.kind === "faults" ? inspector : rollouts).take(message);
     else void colleagues.ask(duty.holder(), message, 0);
@@ -289,6 +297,7 @@
   };
 
   await ledger.start(settings.firstRun);
+  await content?.start();
   await remember();
   board.events.on("changed", (facts) => {
     if (facts.some((fact) => fact.key.startsWith(WORKER_PREFIX))) rememberSoon();
@@ -304,6 +313,7 @@
       const box = colleagues.boxes().find((candidate) => candidate.cell === cell);
       return box === undefined || box.id === self || settings.cell === cell ? undefined : box.id;
     },
+    ...(content ? { purge: content.purge } : {}),
   });
   const queries = new Queries(ledger, {
     nodes: sessions.nodes,
@@ -311,6 +321,7 @@
     duty: () => ({ holder: duty.holder(), epoch: duty.epoch(), here: duty.isHolder(), roster: ledger.members(), counting: ledger.isCounting }),
     inspection: () => tellOfHolder("inspection"),
     rollouts: () => tellOfHolder("rollouts"),
+    ...(content?.tellers ?? {}),
   });
   const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout }));
   const early = clock.every(100 * MS, () => {
@@ -330,6 +341,7 @@
       rollouts.stop();
       await duty.handOver();
       pulse.stop();
+      content?.stop();
       server.close();
       server.closeIdleConnections();
       switchboard.close();
--- a/src/signalling/board.ts
+++ b/src/signalling/board.ts
@@ -63,6 +63,7 @@
 }
 
 export const WORKER_PREFIX = "worker/";
+export const PURGE_PREFIX = "purge/";
 export const PLAN_PREFIX = "plan/";
 export const EJECTIONS_KEY = "ejections";
 export const ROLLOUTS_KEY = "rollouts";
--- a/src/signalling/feeder.ts
+++ b/src/signalling/feeder.ts
@@ -2,11 +2,14 @@
 import { MS } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import type { Board } from "./board.js";
+import type { DepotAt } from "./sessions.js";
 
 /** How many live pointsmen there are, all in all and by cell. */
 export interface Crew {
   readonly pointsmen: number;
   readonly cells: Readonly<Record<string, number>>;
+  /** The depots with a session; left out where there are none. */
+  readonly depots?: readonly DepotAt[];
 }
 
 const GATHER_US = 4 * MS;
@@ -54,6 +57,12 @@
     this.sendAll({ kind: "crew", ...crew });
   };
 
+  /** Tells that every purge acknowledged before so long ago is in what has been sent. */
+  readonly setFresh = (ageUs: number): void => {
+    if (this.changed.size > 0) this.flush();
+    this.sendAll({ kind: "fresh", ageUs });
+  };
+
   /** Sends everything again, for instance once the registry has become complete. */
   readonly sendWhole = (): void => this.sendAll(this.whole());
 
@@ -66,6 +75,7 @@
   };
 
   private readonly flush = (): void => {
+    this.flushPulse?.stop();
     this.flushPulse = undefined;
     const facts = [...this.changed].flatMap((key) => this.board.get(key) ?? []);
     const forget = [...this.forgotten].filter((key) => this.board.get(key) === undefined);
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -5,8 +5,17 @@
 import type { Message, Wire } from "../trackbed/wire.js";
 import type { Crew, Feeder } from "./feeder.js";
 
+export type Role = "pointsman" | "depot";
+
+/** A depot as the crew is told of it. */
+export interface DepotAt {
+  readonly address: string;
+  readonly cell: string;
+}
+
 interface Node {
   readonly name: string;
+  readonly role: Role;
   readonly cell: string;
   readonly relay: string;
 }
@@ -23,7 +32,7 @@
 
 const readNode = (value: unknown): Node => {
   const rec = asRec(value, "node");
-  return { name: text(rec, "name"), cell: text(rec, "cell"), relay: text(rec, "relay") };
+  return { name: text(rec, "name"), cell: text(rec, "cell"), relay: text(rec, "relay"), role: rec["role"] === "depot" ? "depot" : "pointsman" };
 };
 
 export interface SessionsOptions {
@@ -33,6 +42,8 @@
   /** Whether this signalbox may feed: it has a plan to give and a majority in reach. */
   readonly isFit: () => boolean;
   readonly boxes: () => readonly Rec[];
+  /** Answers what a node asks over its session. */
+  readonly answer: (message: Message, node: string) => Promise<Message>;
 }
 
 /**
@@ -60,7 +71,8 @@
     this.assign(session, "");
     void this.events.emit("own");
     for await (const message of incoming) {
-      if (message.kind === "lost-news") this.assign(session, text(message, "parent"));
+      if (typeof message["ask"] === "number") void this.answerNode(session, message, message["ask"]);
+      else if (message.kind === "lost-news") this.assign(session, text(message, "parent"));
       else void this.events.emit("report", { ...message, node: node.name });
     }
     this.options.feeder.release(wire);
@@ -95,11 +107,21 @@
 
   readonly crew = (): Crew => {
     const cells: Record<string, number> = {};
-    const nodes = this.nodes();
+    const all = this.nodes();
+    const nodes = all.filter(({ role }) => role === "pointsman");
+    const depots = all.filter(({ role }) => role === "depot").map(({ relay, cell }) => ({ address: relay, cell }));
     nodes.forEach((node) => {
       cells[node.cell] = (cells[node.cell] ?? 0) + 1;
     });
-    return { pointsmen: nodes.length, cells };
+    return { pointsmen: nodes.length, cells, ...(depots.length > 0 ? { depots } : {}) };
+  };
+
+  private readonly answerNode = async (session: Session, message: Message, ask: number): Promise<void> => {
+    try {
+      session.wire.send({ ...(await this.options.answer(message, session.node.name)), re: ask });
+    } catch (mishap) {
+      this.options.log.warn(`A question of ${session.node.name} failed: ${String(mishap)}.`);
+    }
   };
 
   /** Feeds the node here while there is room, else below the relay with the fewest children. */
@@ -117,5 +139,6 @@
 
 export const readCrew = (message: Message): Crew => {
   const cells = asRec(message["cells"], "cells");
-  return { pointsmen: whole(message, "pointsmen"), cells: Object.fromEntries(Object.keys(cells).map((cell) => [cell, whole(cells, cell)])) };
+  const depots = list(message, "depots", (value) => ({ address: text(asRec(value), "address"), cell: text(asRec(value), "cell") }));
+  return { ...(depots.length > 0 ? { depots } : {}), pointsmen: whole(message, "pointsmen"), cells: Object.fromEntries(Object.keys(cells).map((cell) => [cell, whole(cells, cell)])) };
 };
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -2,16 +2,17 @@
 import { rest, within, type Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { splitAddress } from "../trackbed/settings.js";
-import { asList, asRec, flag, list, text, textOf } from "../trackbed/shape.js";
+import { asList, asRec, flag, list, text, textOf, whole } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
 import { dial, type Message, type Wire, type WireTimes } from "../trackbed/wire.js";
 import { WORKER_PREFIX, type Board } from "./board.js";
 import type { Crew } from "./feeder.js";
-import { readCrew } from "./sessions.js";
+import { readCrew, type Role } from "./sessions.js";
 
 export interface TakerOptions {
   readonly name: string;
   readonly cell: string;
+  readonly role: Role;
   readonly relay: string;
   readonly seeds: readonly string[];
   readonly signalPort: number;
@@ -31,7 +32,7 @@
  * Cut off, it goes on with the board as it is.
  */
 export class Taker {
-  readonly events = new Emittery<{ crew: Crew; whole: undefined }>();
+  readonly events = new Emittery<{ crew: Crew; whole: undefined; fresh: number; unfed: undefined }>();
   private state: SessionState = "looking";
   private boxes: { readonly id: string; readonly cell: string }[] = [];
   private wire: Wire | undefined;
@@ -40,6 +41,8 @@
   private parent = "";
   private tried = new Map<string, number>();
   private stopping = false;
+  private lastAsk = 0;
+  private readonly pending = new Map<number, (reply: Message | undefined) => void>();
 
   constructor(private readonly options: TakerOptions) {}
 
@@ -62,8 +65,18 @@
     if (this.state === "standing") this.wire?.send(message);
   };
 
+  /** Asks the signalbox; undefined when the session ends or the wait is over first. */
+  readonly ask = (message: Message, waitUs: number): Promise<Message | undefined> => {
+    if (this.state !== "standing" || !this.wire) return Promise.resolve(undefined);
+    this.lastAsk += 1;
+    const id = this.lastAsk;
+    const reply = new Promise<Message | undefined>((resolve) => this.pending.set(id, resolve));
+    this.wire.send({ ...message, ask: id });
+    return within(this.options.clock, waitUs, reply, undefined).finally(() => this.pending.delete(id));
+  };
+
   private async *life(): AsyncGenerator<SessionState, void, undefined> {
-    const { name, cell, relay, signalPort, clock, times, log } = this.options;
+    const { name, cell, relay, role, signalPort, clock, times, log } = this.options;
     while (!this.stopping) {
       yield "looking";
       const box = this.choose();
@@ -71,7 +84,7 @@
       if (wire) {
         yield "greeting";
         this.wire = wire;
-        wire.send({ kind: "pointsman", node: { name, cell, relay } });
+        wire.send({ kind: "pointsman", node: { name, cell, relay, role } });
         const incoming = wire.incoming();
         const first = await within(clock, times.silenceUs, incoming.next(), undefined);
         if (first && !first.done) {
@@ -86,6 +99,10 @@
         }
         wire.close();
         this.wire = undefined;
+        this.pending.forEach((resolve) => resolve(undefined));
+        this.pending.clear();
+        yield "looking";
+        this.sayUnfed();
       }
       this.tried.set(box, clock.nowUs());
       if (!this.stopping) await rest(clock, LOOK_AGAIN_US);
@@ -106,7 +123,13 @@
     if (told.length > 0) this.boxes = told;
   };
 
+  /** Without news of its own a relay feeds nobody. */
+  private readonly sayUnfed = (): void => {
+    if (!this.isFed) void this.events.emit("unfed");
+  };
+
   private readonly take = (message: Message): void => {
+    if (typeof message["re"] === "number") return this.pending.get(message["re"])?.(message);
     switch (message.kind) {
       case "boxes":
         return this.learnBoxes(message);
@@ -120,6 +143,7 @@
   private readonly takeNews = (message: Message): void => {
     const { board } = this.options;
     if (message.kind === "crew") void this.events.emit("crew", readCrew(message));
+    if (message.kind === "fresh") void this.events.emit("fresh", whole(message, "ageUs"));
     if (message.kind !== "news") return;
     const facts = asList(message["facts"], "facts");
     board.take(facts);
@@ -153,7 +177,10 @@
       for await (const message of wire.incoming()) {
         if (this.parent === parent) this.takeNews(message);
       }
-      if (this.relayWire === wire) this.relayWire = undefined;
+      if (this.relayWire === wire) {
+        this.relayWire = undefined;
+        this.sayUnfed();
+      }
     }
     wire?.close();
     if (this.parent === parent) this.report({ kind: "lost-news", parent });
--- a/src/trackbed/settings.ts
+++ b/src/trackbed/settings.ts
@@ -2,7 +2,7 @@
 import convict from "convict";
 import { parse } from "smol-toml";
 import { err, ok, type Result } from "true-myth/result";
-import { parseSpan } from "./span.js";
+import { parseSpan, SECOND } from "./span.js";
 
 export type SettingsMishap = { readonly kind: "unreadable" | "wrong"; readonly sentence: string };
 
@@ -11,7 +11,7 @@
   validate: (value: unknown) => {
     if (typeof value !== "number" || !(value >= 0)) throw new Error("must be a span such as 1500ms");
   },
-  coerce: (value: unknown) => parseSpan(value).unwrapOr(-1),
+  coerce: (value: unknown) => (typeof value === "number" ? value : parseSpan(value).unwrapOr(-1)),
 });
 convict.addFormat({
   name: "filled",
@@ -55,6 +55,7 @@
       firstRun: { format: Boolean, default: false },
       heartbeat: { format: "span", default: -1 },
       dataFolder: { format: String, default: "" },
+      deployment: { format: String, default: "" },
       logLevel: { format: ["debug", "info", "warn", "error", "silent"], default: "info" },
     },
     listen: {
@@ -65,6 +66,7 @@
     limits: {
       memoryMb: { format: "nat", default: 0 },
       fileHandles: { format: "nat", default: 0 },
+      diskMb: { format: "nat", default: 64 },
     },
     rollout: {
       late: { format: "weight", default: 0.3 },
@@ -82,6 +84,12 @@
       retryRatio: { format: Number, default: 0 },
       retryWindow: { format: "span", default: -1 },
       retrySlack: { format: Number, default: 0 },
+      stretch: { format: "span", default: 5 * SECOND },
+      keyWindow: { format: "span", default: 60 * SECOND },
+      purge: { format: "span", default: 2 * SECOND },
+      staleSlack: { format: "span", default: 2 * SECOND },
+      ceilingWindow: { format: "span", default: 5 * SECOND },
+      ceilingExcess: { format: Number, default: 1.1 },
     },
   });
 
@@ -97,12 +105,15 @@
   readonly firstRun: boolean;
   readonly heartbeatUs: number;
   readonly dataFolder: string;
+  /** The kind of deployment; empty for a gateway. */
+  readonly deployment: string;
   readonly logLevel: string;
   readonly front: string;
   readonly ready: string;
   readonly control: string;
   readonly memoryMb: number;
   readonly fileHandles: number;
+  readonly diskMb: number;
   readonly withstandMachines: number;
   readonly drainUs: number;
   readonly graceUs: number;
@@ -112,6 +123,13 @@
   readonly retryRatio: number;
   readonly retryWindowUs: number;
   readonly retrySlack: number;
+  /** How much later facts may take effect while the core is unsettled. */
+  readonly stretchUs: number;
+  readonly keyWindowUs: number;
+  readonly purgeUs: number;
+  readonly staleSlackUs: number;
+  readonly ceilingWindowUs: number;
+  readonly ceilingExcess: number;
   /** How heavy each loss weighs when a new route version is judged. */
   readonly rolloutWeights: { readonly late: number; readonly lostSafe: number; readonly lostUnsafe: number; readonly doubled: number };
 }
@@ -132,12 +150,14 @@
       firstRun: cfg.get("node.firstRun"),
       heartbeatUs: cfg.get("node.heartbeat"),
       dataFolder: cfg.get("node.dataFolder"),
+      deployment: cfg.get("node.deployment"),
       logLevel: cfg.get("node.logLevel"),
       front: cfg.get("listen.front"),
       ready: cfg.get("listen.ready"),
       control: cfg.get("listen.control"),
       memoryMb: cfg.get("limits.memoryMb"),
       fileHandles: cfg.get("limits.fileHandles"),
+      diskMb: cfg.get("limits.diskMb"),
       withstandMachines: cfg.get("withstand.machines"),
       drainUs: cfg.get("bounds.drain"),
       graceUs: cfg.get("bounds.grace"),
@@ -147,6 +167,12 @@
       retryRatio: cfg.get("bounds.retryRatio"),
       retryWindowUs: cfg.get("bounds.retryWindow"),
       retrySlack: cfg.get("bounds.retrySlack"),
+      stretchUs: cfg.get("bounds.stretch"),
+      keyWindowUs: cfg.get("bounds.keyWindow"),
+      purgeUs: cfg.get("bounds.purge"),
+      staleSlackUs: cfg.get("bounds.staleSlack"),
+      ceilingWindowUs: cfg.get("bounds.ceilingWindow"),
+      ceilingExcess: cfg.get("bounds.ceilingExcess"),
       rolloutWeights: cfg.get("rollout"),
     });
   } catch (mishap) {
--- a/src/trackbed/wire.ts
+++ b/src/trackbed/wire.ts
@@ -60,10 +60,18 @@
     frame.writeUInt32BE(body.length, 0);
     body.copy(frame, 4);
     this.sentUs = this.clock.nowUs();
+    this.gather();
     this.socket.write(frame);
     if (this.socket.writableLength > MAX_HELD_BYTES) this.close();
   };
 
+  /** What is sent in one turn goes out in one write. */
+  private readonly gather = (): void => {
+    if (this.socket.writableCorked > 0) return;
+    this.socket.cork();
+    process.nextTick(() => this.socket.uncork());
+  };
+
   readonly close = (): void => {
     if (this.closed) return;
     this.closed = true;
--- a/src/traction/call.ts
+++ b/src/traction/call.ts
@@ -9,6 +9,11 @@
   readonly heads: string[];
   readonly body: Buffer | Readable | null;
   readonly tryId: string;
+  /**
+   * Set where the worker need not give the id back, as with reads of the system's own: an answer then can't be told from
+   * another's that comes late, so the connection serves this one request only.
+   */
+  readonly alone?: boolean;
   /** Takes room for a part of the answer; when there is none left, the answer flows on without being held. */
   readonly hold: (bytes: number) => boolean;
 }
@@ -55,8 +60,9 @@
 const EMPTY = Buffer.alloc(0);
 
 /** Why an answer can't be this request's whole own answer, or undefined if it can. */
-const doubt = (status: number, heads: FlatHeads, tryId: string, method: string): string | undefined => {
-  if (headOf(heads, TRY_ID) !== tryId) return "another id";
+const doubt = (status: number, heads: FlatHeads, { tryId, method, alone }: Order): string | undefined => {
+  const told = headOf(heads, TRY_ID);
+  if (told !== tryId && !(alone === true && told === undefined)) return "another id";
   if (headOf(heads, "content-encoding") !== undefined) return "an encoding";
   const isBounded = headOf(heads, "content-length") !== undefined || headOf(heads, "transfer-encoding") !== undefined;
   if (!isBounded && status !== 204 && status !== 304 && method !== "HEAD") return "no bound";
@@ -90,7 +96,7 @@
       this.resolve = resolve;
     });
     this.mark = worker.begin();
-    this.coupling = worker.couple();
+    this.coupling = worker.couple(order.alone === true);
     const { method, path, heads, body } = order;
     try {
       this.coupling.client.dispatch({ method: methodOf(method), path, headers: heads, body, idempotent: false, headersTimeout: 0, bodyTimeout: 0 }, this);
@@ -119,7 +125,7 @@
     const usage = usageOf(headOf(this.heads, USAGE));
     if (usage) this.worker.tell(...usage);
     if (statusCode === 421 || headOf(this.heads, NOT_RUN) !== undefined) return;
-    this.doubtful = doubt(statusCode, this.heads, this.order.tryId, this.order.method);
+    this.doubtful = doubt(statusCode, this.heads, this.order);
     if (this.doubtful !== undefined) this.finish(true, false, { kind: "lost", why: this.doubtful });
   };
 
@@ -137,13 +143,13 @@
   readonly onResponseEnd = (): void => {
     if (this.streaming) {
       this.streaming = false;
-      this.release(true, true);
+      this.release(true, this.order.alone !== true);
       this.restSinks?.onEnd(true);
       return;
     }
     if (this.over) return;
     const answer: Answer = { status: this.status, heads: this.heads, start: this.body(), rest: undefined };
-    const isSound = headOf(this.heads, "connection")?.toLowerCase() !== "close";
+    const isSound = this.order.alone !== true && headOf(this.heads, "connection")?.toLowerCase() !== "close";
     if (this.status === 421) this.finish(true, false, { kind: "not-run", why: "other-worker", answer });
     else if (headOf(this.heads, NOT_RUN) !== undefined) this.finish(true, isSound, { kind: "not-run", why: "full", answer });
     else {
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -1,7 +1,7 @@
 import express from "express";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { within, type Clock } from "../trackbed/clock.js";
+import { rest, within, type Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { OUTCOMES, type OutcomeName } from "../trackbed/outcomes.js";
 import { splitAddress } from "../trackbed/settings.js";
@@ -10,7 +10,8 @@
 import type { RolloutOutcome } from "../inspection/rollout-counts.js";
 import { Chooser, type ChooserOptions } from "./choose.js";
 import { Gate } from "./gate.js";
-import { EXPECT_WORKER, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
+import { EXPECT_WORKER, OPERATION_KEY, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
+import type { KeyAnswer, KeyDesk } from "./key-desk.js";
 import type { Route, RouteTable } from "./routes.js";
 import { Room } from "./room.js";
 import { Stage } from "./stage.js";
@@ -34,6 +35,30 @@
   /** Counts an outcome of a route that sends to more than one service. */
   readonly countRollout: (route: Route, service: string, stratum: string, outcome: RolloutOutcome) => void;
   readonly random: () => number;
+  /** Where objects of cached routes come from; without it they are carried like any safe request. */
+  readonly goods?: ObjectSource;
+  /** Where operation keys are claimed; without it keyed requests are refused. */
+  readonly desk?: KeyDesk;
+}
+
+export type ObjectVerdict =
+  | { readonly kind: "served"; readonly status: number; readonly heads: readonly string[]; readonly body: Buffer }
+  | { readonly kind: "none"; readonly why: "rate" | "full" | "late"; readonly comeBackUs: number };
+
+export interface ObjectWant {
+  readonly service: string;
+  readonly host: string;
+  readonly url: string;
+  readonly cacheForUs: number;
+  readonly mostAgeUs: number;
+  readonly aimUs: number;
+  readonly untilUs: number;
+}
+
+export interface ObjectSource {
+  readonly fetch: (want: ObjectWant, range: string | undefined) => Promise<ObjectVerdict>;
+  /** Whether one more request may go to a service with a bound on its rate. */
+  readonly permit: (service: string) => Promise<boolean>;
 }
 
 /** Bodies up to this size are held, so that they can be sent on again; larger ones are passed on as they come. */
@@ -43,6 +68,10 @@
 const GATE_PART = 8;
 const PATIENCE_PART = 0.8;
 const SILENCE_CHECK_US = 120 * MS;
+const CLAIM_PART = 5;
+const KEEP_PART = 0.5;
+const MOST_KEY = 200;
+const SPLIT_REST_US = 30 * MS;
 const NOT_PASSED_ON: ReadonlySet<string> = new Set([TIME_LEFT, EXPECT_WORKER, "content-length", "expect"]);
 const NONE: ReadonlySet<string> = new Set();
 
@@ -134,10 +163,12 @@
       heldBytes: 0,
       sends: 0,
       mayHaveRun: false,
+      hasRun: false,
       linkMishap: false,
       stratum: "near|warm",
       over: false,
       onOver: [],
+      claim: undefined,
     };
     line.open += 1;
     this.open += 1;
@@ -211,10 +242,77 @@
     trip.route = route;
     trip.service = table.unlessStopped(route, drawService(route, random()));
     trip.budgetUs = Math.min(trip.budgetUs, trip.arrivedUs + route.giveUpUs);
+    const { goods } = this.options;
+    if (goods && route.kind === "cached" && (trip.req.method === "GET" || trip.req.method === "HEAD")) {
+      void this.give(trip, route, goods, host);
+      return;
+    }
     allowanceOf(trip.service).count();
     if (!this.carrying.offer(trip)) this.refuse(trip, "full");
   };
 
+  /** An object of a cached route, from a copy or fetched within the origin's rate. */
+  private readonly give = async (trip: Trip, route: Route, goods: ObjectSource, host: string): Promise<void> => {
+    const { cacheForUs, aimUs } = route;
+    const want = { service: trip.service, host, url: trip.req.url ?? "/", cacheForUs, mostAgeUs: cacheForUs, aimUs, untilUs: trip.budgetUs };
+    const { range } = trip.req.headers;
+    const got = await goods.fetch(want, trip.req.method === "GET" ? range : undefined);
+    if (trip.over || trip.line.closing) return;
+    if (got.kind === "none") this.refuse(trip, got.why === "rate" ? "noRate" : "full", got.comeBackUs);
+    else this.answerKept(trip, got.status, got.heads, got.body);
+  };
+
+  /** Answers with what was kept of a worker's answer to another request. */
+  private readonly answerKept = (trip: Trip, status: number, heads: readonly string[], body: Buffer): void => {
+    if (trip.over || trip.res.headersSent) return;
+    const all = [...heads, "Yewreel-Try-Id", trip.tryId];
+    this.answer(trip, { status, heads: all, start: body, rest: undefined });
+  };
+
+  /** Claims the operation key; false when the request has been answered instead, or its caller is gone. */
+  private readonly claim = async (trip: Trip, route: Route): Promise<boolean> => {
+    const { clock, desk, random } = this.options;
+    const told = trip.req.headers[OPERATION_KEY];
+    if (typeof told !== "string" || told === "" || told.length > MOST_KEY) {
+      this.refuse(trip, "noKey");
+      return false;
+    }
+    const key = `${route.host}\n${told}`;
+    const untilUs = Math.min(trip.arrivedUs + route.aimUs / CLAIM_PART, trip.budgetUs);
+    let isTaken = false;
+    for (let at = 0; desk && !trip.over && clock.nowUs() < untilUs; at += 1) {
+      const token = `${trip.tryId}.${at}.${random().toString(36).slice(2)}`;
+      const verdict = await within(clock, untilUs - clock.nowUs(), desk.claim(key, token), { kind: "none" as const });
+      if (verdict.kind === "won") {
+        if (trip.over) {
+          desk.free(key, token);
+          return false;
+        }
+        trip.claim = { key, token };
+        return true;
+      }
+      if (verdict.kind === "done") {
+        this.answerKept(trip, verdict.answer.status, verdict.answer.heads, Buffer.from(verdict.answer.body));
+        return false;
+      }
+      desk.free(key, token);
+      isTaken = verdict.kind === "working";
+      if (isTaken) break;
+      await rest(clock, SPLIT_REST_US * (0.5 + random()));
+    }
+    this.refuse(trip, isTaken ? "keyAtWork" : "noQuorum");
+    return false;
+  };
+
+  /** Keeps the answer of a keyed request for its repeats, before its caller gets it. */
+  private readonly keep = async (trip: Trip, answer: Answer): Promise<void> => {
+    const { desk, clock } = this.options;
+    if (!desk || !trip.claim || answer.rest) return;
+    const kept: KeyAnswer = { status: answer.status, heads: passOn(answer.heads, NOT_KEPT), body: answer.start };
+    const aimLeftUs = trip.arrivedUs + (trip.route?.aimUs ?? 0) - clock.nowUs();
+    await desk.keep(trip.claim.key, trip.claim.token, kept, Math.max(aimLeftUs * KEEP_PART, 300 * MS));
+  };
+
   /** Gate, choose and call, again where that is allowed, and at the end the one answer. */
   private readonly carry = async (trip: Trip): Promise<void> => {
     const { clock, allowanceOf } = this.options;
@@ -223,12 +321,15 @@
     if (!route.isSafe) await trip.prior;
     const budget = clock.after(trip.budgetUs - clock.nowUs(), () => this.runOut(trip));
     trip.onOver.push(budget.stop);
+    if (route.kind === "keyed" && !(await this.claim(trip, route))) return;
+    if (this.options.goods && (this.options.table.service(trip.service)?.ratePerS ?? 0) > 0 && !(await this.options.goods.permit(trip.service))) return this.refuse(trip, "noRate");
     let lastAnswer: Answer | undefined;
     while (!trip.over && !trip.line.closing) {
       if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && allowanceOf(trip.service).spend())) break;
       const worker = await this.gate.pass(trip, this.gateWaitUs(trip, route));
       if (trip.over || !worker) break;
       const verdict = await this.call(trip, route, worker);
+      if (verdict.kind === "answered" && trip.claim) await this.keep(trip, verdict.answer);
       if (trip.over || verdict.kind === "cancelled") return;
       if (verdict.kind === "answered") {
         const isOwnMishap = verdict.answer.status >= 500;
@@ -276,6 +377,7 @@
     trip.calls.add(call);
     void call.verdict.then((verdict) => {
       trip.calls.delete(call);
+      if (verdict.kind === "answered") trip.hasRun = true;
       if (verdict.kind === "lost") {
         trip.mayHaveRun = true;
         worker.shun();
@@ -330,7 +432,7 @@
   };
 
   /** Answer: the gateway's own, by the table of outcomes. */
-  private readonly refuse = (trip: Trip, name: OutcomeName): void => {
+  private readonly refuse = (trip: Trip, name: OutcomeName, comeBackUs = 0): void => {
     const { res, route } = trip;
     if (trip.over || res.headersSent) return;
     const outcome = OUTCOMES[name];
@@ -338,7 +440,7 @@
     this.countSplit(trip, () => (!trip.mayHaveRun && trip.linkMishap ? "own" : lossOf(trip, trip.mayHaveRun)));
     this.markClosing(trip, outcome.closes);
     const body = JSON.stringify({ problem: outcome.problem });
-    if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route));
+    if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route, comeBackUs));
     res.writeHead(outcome.status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
     res.end(body);
     this.end(trip);
@@ -351,7 +453,7 @@
   };
 
   private readonly count = (trip: Trip, outcome: string): void => {
-    const kind = trip.route === undefined ? "none" : trip.route.isSafe ? "safe" : "unsafe";
+    const kind = trip.route?.kind ?? "none";
     this.options.tally(trip.route?.name ?? "none", kind, outcome);
   };
 
@@ -372,10 +474,18 @@
   /** Whatever still runs for the trip is called off: it has been answered, or its caller is gone. */
   private readonly end = (trip: Trip): void => {
     trip.over = true;
-    trip.calls.forEach((call) => call.cancel());
+    this.freeClaim(trip);
+    // A keyed run whose caller is gone goes on, so that its answer can be kept for the repeats.
+    if (!trip.claim || trip.res.writableEnded) trip.calls.forEach((call) => call.cancel());
     trip.onOver.splice(0).forEach((act) => act());
   };
 
+  private readonly freeClaim = (trip: Trip): void => {
+    if (!trip.claim || trip.mayHaveRun || trip.hasRun || hasStarted(trip)) return;
+    this.options.desk?.free(trip.claim.key, trip.claim.token);
+    trip.claim = undefined;
+  };
+
   private readonly malformed = (mishap: NodeJS.ErrnoException, socket: Socket): void => {
     const line = this.lines.get(socket);
     if (!socket.writable || (line !== undefined && line.open > 0)) {
@@ -390,6 +500,7 @@
   };
 }
 
+const NOT_KEPT: ReadonlySet<string> = new Set([TRY_ID, "content-length", "date", "yewreel-worker-load"]);
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
 /** Whether bytes of it may have reached a worker that it is still at. */
@@ -400,7 +511,8 @@
 
 const isHeldBody = (trip: Trip): boolean => trip.body === null || Buffer.isBuffer(trip.body);
 
-const comeBackS = (route: Route | undefined): string => ((route ? Math.max(50 * MS, route.aimUs / 4) : 250 * MS) / SECOND).toFixed(3);
+const comeBackS = (route: Route | undefined, leastUs: number): string =>
+  (Math.max(leastUs, route ? Math.max(50 * MS, route.aimUs / 4) : 250 * MS) / SECOND).toFixed(3);
 
 const drawService = (route: Route, random: number): string => {
   const total = route.shares.reduce((sum, { share }) => sum + share, 0);
--- a/src/traction/heads.ts
+++ b/src/traction/heads.ts
@@ -6,6 +6,8 @@
 export const EXPECT_WORKER = "yewreel-expect-worker";
 export const SEAL = "yewreel-server-seal";
 export const USAGE = "yewreel-worker-load";
+export const LABELS = "yewreel-labels";
+export const OPERATION_KEY = "yewreel-operation-key";
 export const NOT_RUN = "yewreel-not-run";
 
 const OF_ONE_CONNECTION = new Set([
--- a/src/traction/routes.ts
+++ b/src/traction/routes.ts
@@ -7,7 +7,11 @@
   readonly name: string;
   readonly host: string;
   readonly pathStart: string;
+  readonly kind: string;
+  /** Whether a request may run more than once. */
   readonly isSafe: boolean;
+  /** How long an answer may be kept; 0 unless the route is cached. */
+  readonly cacheForUs: number;
   readonly aimUs: number;
   readonly rank: number;
   readonly version: number;
@@ -21,6 +25,8 @@
   readonly name: string;
   readonly statusPath: string;
   readonly maxConnections: number;
+  /** The most requests a second that the service is to receive from everyone; 0 where there is no such bound. */
+  readonly ratePerS: number;
 }
 
 export interface CallerLimits {
@@ -42,7 +48,9 @@
     name: text(rule, "name"),
     host: text(rec, "host").toLowerCase(),
     pathStart: text(asRec(rule["matchOn"], "matchOn"), "pathStart"),
-    isSafe: rule["routeKind"] === "safe",
+    kind: typeof rule["routeKind"] === "string" ? rule["routeKind"] : "unsafe",
+    isSafe: rule["routeKind"] === "safe" || rule["routeKind"] === "cached",
+    cacheForUs: rule["routeKind"] === "cached" ? parseSpan(rule["cacheFor"]).unwrapOr(0) : 0,
     aimUs: parseSpan(rule["target_time"]).unwrapOr(SECOND),
     rank: typeof rule["rank"] === "number" ? rule["rank"] : 0,
     version: whole(rule, "version"),
@@ -115,7 +123,7 @@
     const rec = asRec(parseJson(item));
     const name = text(rec, "name");
     const maxConnections = typeof rec["maxConnections"] === "number" && rec["maxConnections"] > 0 ? rec["maxConnections"] : 1_000;
-    this.services.set(name, { name, statusPath: text(rec, "statusPath"), maxConnections });
+    this.services.set(name, { name, statusPath: text(rec, "statusPath"), maxConnections, ratePerS: typeof rec["ratePerS"] === "number" ? rec["ratePerS"] : 0 });
   };
 
   private readonly takeLimits = (item: string): void => {
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -34,6 +34,8 @@
   sends: number;
   /** Set once some worker may have run it; from then on no promise may be given. */
   mayHaveRun: boolean;
+  /** Set once a worker has answered it, which then has run it. */
+  hasRun: boolean;
   /** Set once a worker could not be reached in a way that may be this node's own link's doing. */
   linkMishap: boolean;
   /** Where the first worker asked stands to this node: near or far, warm or cold. */
@@ -41,4 +43,9 @@
   /** Set once it is answered or its caller is gone. */
   over: boolean;
   readonly onOver: (() => void)[];
+  /**
+   * The claim on its operation key, for keyed requests. Invariant: it is taken back only if nothing of the request was
+   * ever sent to a worker that may have run it, and no request of a keyed route is sent to a worker without one.
+   */
+  claim: { readonly key: string; readonly token: string } | undefined;
 }
--- a/src/traction/yard.ts
+++ b/src/traction/yard.ts
@@ -136,8 +136,8 @@
     if (heard) this.heardUs = this.clock.nowUs();
   };
 
-  readonly couple = (): Coupling => {
-    const waiting = this.idle.pop();
+  readonly couple = (isNew = false): Coupling => {
+    const waiting = isNew ? undefined : this.idle.pop();
     if (waiting) return waiting;
     this.open += 1;
     const client = new Client(`http://${this.address}`, {
--- a/src/yewreel.ts
+++ b/src/yewreel.ts
@@ -65,7 +65,8 @@
 const cli = new Command("yewreel").description("An API gateway that repairs itself and explains what it did.");
 cli.command("pointsman").description("carry callers' requests to workers (data plane)").action(() => run(async () => (await import("./programs/pointsman.js")).runPointsman));
 cli.command("signalbox").description("hold the plan, know workers and nodes, decide (control plane)").action(() => run(async () => (await import("./programs/signalbox.js")).runSignalbox));
-if (process.argv[2] !== "pointsman" && process.argv[2] !== "signalbox") {
+cli.command("depot").description("hold copies of objects for all pointsmen (shared cache)").action(() => run(async () => (await import("./programs/depot.js")).runDepot));
+if (process.argv[2] !== "depot" && process.argv[2] !== "pointsman" && process.argv[2] !== "signalbox") {
   (await import("./programs/stationmaster.js")).addStationmaster(cli);
   (await import("./programs/shunter.js")).addShunter(cli);
 }
