--- /dev/null
+++ b/src/inspection/forecast.ts
@@ -0,0 +1,313 @@
+import { linearRegression, linearRegressionLine, mean, sampleVariance } from "simple-statistics";
+import type { Clock, Pulse } from "../trackbed/clock.js";
+import type { Log } from "../trackbed/log.js";
+import { asList, isRec, list, numberOf, text, textOf, asRec, type Rec } from "../trackbed/shape.js";
+import { SECOND } from "../trackbed/span.js";
+import type { Message } from "../trackbed/wire.js";
+
+export type ForecastName = "unknown" | "steady" | "nearing" | "overrun";
+
+export interface ForecastTerms {
+  readonly tickUs: number;
+  /** How many ticks the trend is taken over. */
+  readonly samples: number;
+  /** How far ahead a trend warns. */
+  readonly horizonUs: number;
+  /** Parts of the slots in use: where a warning begins and ends by level, and where a service counts as overrun. */
+  readonly nearAt: number;
+  readonly calmAt: number;
+  readonly overAt: number;
+  readonly relieveAt: number;
+  /** The least part in use for which a trend warns. */
+  readonly trendAt: number;
+  /** How many standard errors above 0 a slope must be to be told from noise. */
+  readonly slopeErrors: number;
+  /** For how many ticks in a row a verdict must hold before it is entered, and left. */
+  readonly enterTicks: number;
+  readonly leaveTicks: number;
+  readonly leastPerS: number;
+  readonly refusedPart: number;
+}
+
+export const FORECAST_TERMS: ForecastTerms = {
+  tickUs: 2 * SECOND,
+  samples: 15,
+  horizonUs: 30 * SECOND,
+  nearAt: 0.75,
+  calmAt: 0.65,
+  overAt: 0.95,
+  relieveAt: 0.85,
+  trendAt: 0.5,
+  slopeErrors: 4,
+  enterTicks: 2,
+  leaveTicks: 3,
+  leastPerS: 1,
+  refusedPart: 0.01,
+};
+
+export interface ForecastWorker {
+  readonly id: string;
+  readonly service: string;
+  readonly cell: string;
+  readonly capacity: number;
+  /** Ready, and not ejected, so that requests go to it. */
+  readonly isUsed: boolean;
+}
+
+interface Sample {
+  readonly atS: number;
+  readonly perS: number;
+  readonly usedPart: number;
+  readonly refusedPart: number;
+}
+
+export interface Trend {
+  /** Expected time until the slots are all in use, and its band; undefined where it isn't rising beyond noise. */
+  readonly leftS: number;
+  readonly soonestS: number;
+  readonly latestS: number;
+}
+
+interface Watch {
+  verdict: ForecastName;
+  samples: Sample[];
+  wanted: ForecastName;
+  heldTicks: number;
+  trend: Trend | undefined;
+  reason: string;
+}
+
+const KEEP_NODE_US = 6 * SECOND;
+
+/** The part in use will reach 1 when, by a straight line through the samples; undefined where noise could say the same. */
+export const trendOf = (samples: readonly { readonly atS: number; readonly usedPart: number }[], slopeErrors: number): Trend | undefined => {
+  const last = samples[samples.length - 1];
+  if (samples.length < 6 || !last) return undefined;
+  const points = samples.map(({ atS, usedPart }) => [atS, usedPart]);
+  const fit = linearRegression(points);
+  const line = linearRegressionLine(fit);
+  const spread = sampleVariance(samples.map(({ atS }) => atS)) * (samples.length - 1);
+  const residual = points.reduce((sum, [x = 0, y = 0]) => sum + (y - line(x)) ** 2, 0) / (samples.length - 2);
+  // Neighbouring samples are alike, so that fewer speak than there are: twice the error that independent ones would have.
+  const slopeError = 2 * Math.sqrt(residual / spread) + 1e-9;
+  if (fit.m <= slopeErrors * slopeError) return undefined;
+  const left = Math.max(0, 1 - line(last.atS));
+  return { leftS: left / fit.m, soonestS: left / (fit.m + 2 * slopeError), latestS: left / (fit.m - 2 * slopeError) };
+};
+
+export interface ForecasterOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly terms: ForecastTerms;
+  readonly isHolder: () => boolean;
+  readonly workers: () => readonly ForecastWorker[];
+  readonly nodes: () => number;
+  /** Tells the pointsmen which services are pressed; asynchronous, and never waited on by forwarding. */
+  readonly publish: (verdicts: Readonly<Record<string, ForecastName>>) => Promise<boolean>;
+  readonly published: () => Readonly<Record<string, ForecastName>>;
+}
+
+interface Told {
+  readonly life: string;
+  heardUs: number;
+  readonly rows: Map<string, readonly number[]>;
+}
+
+/**
+ * Warns that a service nears what it can keep up with, from what all nodes see arriving and being answered.
+ * By Little's law the calls in flight are their summed time over the span; over the slots that beats tell, that is the
+ * part in use, whether arrivals rise, workers slow down, or workers go.
+ */
+export class Forecaster {
+  private readonly told = new Map<string, Told>();
+  /** Invariant: the rises since the last tick, by service and workers' cell. */
+  private rises = new Map<string, number[]>();
+  private readonly watches = new Map<string, Watch>();
+  private pulse: Pulse | undefined;
+  private lastUs: number | undefined;
+  private malformed = 0;
+  private busy = false;
+
+  constructor(private readonly options: ForecasterOptions) {}
+
+  readonly start = (): void => {
+    this.pulse = this.options.clock.every(this.options.terms.tickUs, () => void this.tick());
+  };
+
+  readonly stop = (): void => this.pulse?.stop();
+
+  readonly take = (report: Message): void => {
+    try {
+      const life = text(report, "life");
+      const node = text(report, "node");
+      const rows = list(report, "rows", (value) => {
+        const [service, cell, ...figures] = asList(value, "row");
+        return { key: `${textOf(service)}|${textOf(cell)}`, figures: figures.map(numberOf) };
+      });
+      const before = this.told.get(node);
+      const isNew = before === undefined;
+      const now: Told = before && before.life === life ? before : { life, heardUs: 0, rows: new Map() };
+      now.heardUs = this.options.clock.nowUs();
+      this.told.set(node, now);
+      rows.forEach(({ key, figures }) => {
+        const last = now.rows.get(key);
+        // A node heard for the first time has counted from before this holder looked: it only sets the mark.
+        if (last || !isNew) this.rise(key, figures.map((figure, at) => Math.max(0, figure - (last?.[at] ?? 0))));
+        now.rows.set(key, figures.map((figure, at) => Math.max(figure, last?.[at] ?? 0)));
+      });
+    } catch {
+      this.malformed += 1;
+    }
+  };
+
+  readonly verdicts = (): Readonly<Record<string, ForecastName>> => Object.fromEntries([...this.watches].map(([key, { verdict }]) => [key, verdict]));
+
+  /** The calls in flight of each service at the last tick, for those who ask what other cells would have to carry. */
+  readonly inFlight = (): ReadonlyMap<string, number> => {
+    const slots = this.slots();
+    return new Map([...this.watches].filter(([key]) => key.endsWith("|")).map(([key, { samples }]) => [key.slice(0, -1), (samples[samples.length - 1]?.usedPart ?? 0) * (slots.get(key) ?? 0)]));
+  };
+
+  readonly explain = (): Rec => ({
+    holder: this.options.isHolder(),
+    malformedReports: this.malformed,
+    nodesHeard: this.heard(),
+    services: [...this.watches].map(([key, watch]) => {
+      const [service, cell] = key.split("|");
+      const last = watch.samples[watch.samples.length - 1];
+      const { trend } = watch;
+      return {
+        service,
+        cell: cell === "" ? "all" : cell,
+        verdict: watch.verdict,
+        perS: round(last?.perS ?? 0),
+        usedPart: round(last?.usedPart ?? 0),
+        refusedPart: round(last?.refusedPart ?? 0),
+        ...(trend ? { leftS: round(trend.leftS), soonestS: round(trend.soonestS), latestS: round(trend.latestS) } : {}),
+        reason: watch.reason,
+      };
+    }),
+  });
+
+  readonly tick = async (): Promise<void> => {
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      if (this.options.isHolder()) await this.look();
+      else this.reset();
+    } finally {
+      this.busy = false;
+    }
+  };
+
+  /** Only the holder watches; who takes the duty begins anew with the next reports. */
+  private readonly reset = (): void => {
+    this.told.clear();
+    this.rises = new Map();
+    this.watches.clear();
+    this.lastUs = undefined;
+  };
+
+  private readonly heard = (): number => {
+    const nowUs = this.options.clock.nowUs();
+    return [...this.told.values()].filter(({ heardUs }) => nowUs - heardUs <= KEEP_NODE_US).length;
+  };
+
+  private readonly rise = (key: string, figures: readonly number[]): void => {
+    const sum = this.rises.get(key) ?? [0, 0, 0, 0];
+    this.rises.set(key, sum.map((value, at) => value + (figures[at] ?? 0)));
+  };
+
+  private readonly slots = (): Map<string, number> => {
+    const slots = new Map<string, number>();
+    const add = (key: string, capacity: number) => slots.set(key, (slots.get(key) ?? 0) + capacity);
+    this.options.workers().filter(({ isUsed }) => isUsed).forEach(({ service, cell, capacity }) => {
+      add(`${service}|${cell}`, capacity);
+      add(`${service}|`, capacity);
+    });
+    return slots;
+  };
+
+  private readonly look = async (): Promise<void> => {
+    const { clock, nodes, publish, published } = this.options;
+    const nowUs = clock.nowUs();
+    const spanS = (nowUs - (this.lastUs ?? nowUs)) / SECOND;
+    this.lastUs = nowUs;
+    const rises = this.rises;
+    this.rises = new Map();
+    if (spanS <= 0) return;
+    const slots = this.slots();
+    const isHeard = this.heard() * 2 > nodes();
+    const services = new Set([...rises.keys(), ...this.watches.keys(), ...slots.keys()].map((key) => key.split("|")[0] ?? ""));
+    services.forEach((service) => {
+      const cells = [...slots.keys()].filter((key) => key.startsWith(`${service}|`) && !key.endsWith("|"));
+      const called = [...rises].filter(([key]) => key.startsWith(`${service}|`)).map(([, figures]) => figures);
+      const total = called.reduce<number[]>((sum, figures) => sum.map((value, at) => value + (figures[at] ?? 0)), [0, 0, 0, 0]);
+      this.watch(`${service}|`, nowUs, spanS, total, slots.get(`${service}|`) ?? 0, isHeard);
+      cells.forEach((key) => this.watch(key, nowUs, spanS, rises.get(key) ?? [0, 0, 0, 0], slots.get(key) ?? 0, isHeard));
+    });
+    const pressed = Object.fromEntries([...this.watches].filter(([key, { verdict }]) => key.endsWith("|") && (verdict === "nearing" || verdict === "overrun")).map(([key, { verdict }]) => [key.slice(0, -1), verdict]));
+    if (JSON.stringify(sorted(pressed)) !== JSON.stringify(sorted(published()))) await publish(pressed);
+  };
+
+  private readonly watch = (key: string, nowUs: number, spanS: number, figures: readonly number[], slots: number, isHeard: boolean): void => {
+    const { terms, log } = this.options;
+    const [arrived = 0, refused = 0, answered = 0, busyUs = 0] = figures;
+    const watch: Watch = this.watches.get(key) ?? { verdict: "unknown", samples: [], wanted: "unknown", heldTicks: 0, trend: undefined, reason: "nothing seen yet" };
+    this.watches.set(key, watch);
+    const perS = Math.max(arrived, answered) / spanS;
+    const usedPart = slots > 0 ? busyUs / SECOND / spanS / slots : 0;
+    watch.samples = [...watch.samples, { atS: nowUs / SECOND, perS, usedPart, refusedPart: arrived > 0 ? refused / arrived : 0 }].slice(-terms.samples);
+    watch.trend = trendOf(watch.samples, terms.slopeErrors);
+    const wanted = this.judge(watch, slots, isHeard);
+    watch.heldTicks = wanted === watch.wanted ? watch.heldTicks + 1 : 1;
+    watch.wanted = wanted;
+    const needed = RANK[wanted] > RANK[watch.verdict] ? terms.enterTicks : terms.leaveTicks;
+    if (wanted === watch.verdict || watch.heldTicks < needed) return;
+    // Pressure lifts step by step, so that what was held back doesn't come back all at once.
+    const before = watch.verdict;
+    watch.verdict = before === "overrun" && RANK[wanted] < RANK.nearing && wanted !== "unknown" ? "nearing" : wanted;
+    const [service, cell] = key.split("|");
+    const sentence = `${service}${cell === "" ? "" : ` in ${cell}`} was ${before}, is ${watch.verdict}: ${watch.reason}`;
+    if (watch.verdict === "nearing" || watch.verdict === "overrun") log.warn(sentence);
+    else if (before !== "unknown") log.info(sentence);
+  };
+
+  private readonly judge = (watch: Watch, slots: number, isHeard: boolean): ForecastName => {
+    const { terms } = this.options;
+    const recent = watch.samples.slice(-terms.enterTicks);
+    const used = mean(recent.map(({ usedPart }) => usedPart));
+    const perS = mean(recent.map((sample) => sample.perS));
+    const refusedPart = mean(recent.map((sample) => sample.refusedPart));
+    const now = `${Math.round(used * 100)}% of ${slots} slots in use at ${perS.toFixed(1)} a second, ${(refusedPart * 100).toFixed(1)}% refused.`;
+    watch.reason = now;
+    if (!isHeard) return this.say(watch, "unknown", "Too few nodes are heard.");
+    if (slots > 0 && perS < terms.leastPerS) return this.say(watch, "unknown", "Too little traffic.");
+    const isOver = watch.verdict === "overrun";
+    const isPressed = isOver || watch.verdict === "nearing";
+    if (slots === 0 || used >= (isOver ? terms.relieveAt : terms.overAt) || refusedPart > terms.refusedPart) return "overrun";
+    if (used >= (isPressed ? terms.calmAt : terms.nearAt)) return "nearing";
+    const { trend } = watch;
+    const rises = trend !== undefined && used >= terms.trendAt && trend.leftS * SECOND <= terms.horizonUs * (isPressed ? 2 : 1);
+    if (!rises) return "steady";
+    return this.say(watch, "nearing", `${now} All in use in ${Math.round(trend.leftS)} s (${Math.round(trend.soonestS)} to ${Math.round(trend.latestS)} s).`);
+  };
+
+  private readonly say = (watch: Watch, verdict: ForecastName, reason: string): ForecastName => {
+    watch.reason = reason;
+    return verdict;
+  };
+}
+
+const RANK: Readonly<Record<ForecastName, number>> = { unknown: 0, steady: 1, nearing: 2, overrun: 3 };
+
+const round = (value: number): number => Math.round(value * 1_000) / 1_000;
+
+const sorted = (verdicts: Readonly<Record<string, ForecastName>>): readonly (readonly [string, string])[] => Object.entries(verdicts).sort(([a], [b]) => (a < b ? -1 : 1));
+
+const isName = (value: unknown): value is ForecastName => value === "unknown" || value === "steady" || value === "nearing" || value === "overrun";
+
+export const readVerdicts = (value: unknown): Readonly<Record<string, ForecastName>> => {
+  const rec = isRec(value) ? asRec(value) : {};
+  return Object.fromEntries(Object.entries(rec).flatMap(([service, verdict]) => (isName(verdict) ? [[service, verdict] as const] : [])));
+};
--- a/src/inspection/inspector.ts
+++ b/src/inspection/inspector.ts
@@ -20,8 +20,11 @@
 
 export interface Shift {
   readonly cell: string;
-  readonly why: "outlier" | "practice" | "by hand";
+  readonly why: "outlier" | "practice" | "by hand" | "window";
   readonly reason: string;
+  /** The parts of safe and of unsafe requests that go elsewhere; all of them where nothing is said. */
+  readonly safe?: number;
+  readonly unsafe?: number;
 }
 
 /** What the inspection wants of the data plane. Invariant: at most one cell is shifted away from at a time. */
@@ -37,7 +40,14 @@
   if (value === undefined || value === null) return undefined;
   const rec = asRec(value, "shift");
   const why = rec["why"];
-  return { cell: text(rec, "cell"), why: why === "practice" || why === "by hand" ? why : "outlier", reason: text(rec, "reason") };
+  const { safe, unsafe } = rec;
+  return {
+    cell: text(rec, "cell"),
+    why: why === "practice" || why === "by hand" || why === "window" ? why : "outlier",
+    reason: text(rec, "reason"),
+    ...(typeof safe === "number" ? { safe } : {}),
+    ...(typeof unsafe === "number" ? { unsafe } : {}),
+  };
 };
 
 export const readDecisions = (value: unknown): Decisions => {
@@ -120,14 +130,19 @@
     }
   };
 
+  /** A planned window's shift, which goes before a practice; undefined ends it. */
+  readonly setShift = (shift: Shift | undefined): Promise<boolean> => this.publish({ ...this.options.decisions(), shift });
+
   /** An operator's shift, or its end when no cell is named. */
-  readonly shiftByHand = (cell: string): Promise<boolean> => {
+  readonly shiftByHand = async (cell: string): Promise<boolean> => {
+    if (this.options.decisions().shift?.why === "window") return false;
     const shift: Shift | undefined = cell === "" ? undefined : { cell, why: "by hand", reason: "The operator asked for it." };
     return this.publish({ ...this.options.decisions(), shift });
   };
 
-  readonly practise = (cell: string): Promise<boolean> =>
-    this.publish({ ...this.options.decisions(), shift: { cell, why: "practice", reason: "Practice keeps the path exercised." } });
+  readonly practise = async (cell: string): Promise<boolean> =>
+    this.options.decisions().shift?.why !== "window" &&
+    (await this.publish({ ...this.options.decisions(), shift: { cell, why: "practice", reason: "Practice keeps the path exercised." } }));
 
   private readonly publish = async (decisions: Decisions): Promise<boolean> => {
     if (!this.options.isHolder()) return false;
@@ -177,7 +192,7 @@
   private readonly endShift = async (): Promise<boolean> => {
     const { clock, terms, decisions, log } = this.options;
     const { shift } = decisions();
-    if (!shift || shift.why === "by hand") return false;
+    if (!shift || shift.why === "by hand" || shift.why === "window") return false;
     this.shiftSinceUs ??= clock.nowUs();
     const lastsUs = shift.why === "practice" ? PRACTICE_US : terms.returnUs;
     if (clock.nowUs() - this.shiftSinceUs < lastsUs) return false;
@@ -211,7 +226,7 @@
 
   private readonly shiftWorst = async (): Promise<boolean> => {
     const { terms, workers, decisions, log } = this.options;
-    if (decisions().shift) return false;
+    const { shift } = decisions();
     const all = workers();
     const faults = this.window.byWorker();
     const weightOf = (worker: InspectedWorker) => (faults.get(worker.id) ?? 0) + (worker.missing ? MISSING_WEIGHT : 0);
@@ -222,6 +237,7 @@
     const ofCell = all.filter((worker) => worker.cell === found.who);
     if (ofCell.filter((worker) => weightOf(worker) > 0).length * 2 < ofCell.length) return false;
     const reason = `${found.who} holds ${found.faults} of ${found.ofFaults} faults (${percent(found)}).`;
+    if (shift) return shift.cell === found.who ? false : this.say(`${reason} It is not shifted away from: ${shift.cell} is, and one cell goes at a time.`);
     if (await this.publish({ ...decisions(), shift: { cell: found.who, why: "outlier", reason } })) log.warn(`Shifted away from ${found.who}: ${reason}`);
     return true;
   };
--- a/src/inspection/split-routes.ts
+++ b/src/inspection/split-routes.ts
@@ -1,14 +1,16 @@
 import { asRec, parseJson } from "../trackbed/shape.js";
 import { mainOf, readShares } from "../trackbed/shares.js";
+import { parseSpan } from "../trackbed/span.js";
 import type { SplitRoute } from "./rollout-inspector.js";
 
 interface Seen {
   readonly version: number;
   readonly main: string;
   readonly split: SplitRoute | undefined;
+  readonly giveUpUs: number;
 }
 
-/** Follows the routes of the plan: which are split now, and which service each sent the most to before. */
+/** Follows the routes of the plan: which are split now, how long their requests may take, and which service each sent the most to before. */
 export class SplitRoutes {
   private readonly seen = new Map<string, Seen>();
   private readonly mainsBefore = new Map<string, string>();
@@ -25,6 +27,9 @@
 
   readonly all = (): readonly SplitRoute[] => [...this.seen.values()].flatMap((seen) => seen.split ?? []);
 
+  /** For how long a request may be under way, by the longest of all routes. */
+  readonly longestGiveUpUs = (): number => [...this.seen.values()].reduce((longest, { giveUpUs }) => Math.max(longest, giveUpUs), 0);
+
   readonly mainBefore = (name: string): string | undefined => this.mainsBefore.get(name);
 }
 
@@ -33,5 +38,5 @@
   const then = asRec(rule["then"], "then");
   const shares = readShares(then);
   const split = shares.length > 1 ? { name, version, isSafe: rule["routeKind"] === "safe", shares } : undefined;
-  return { version, main: mainOf(shares), split };
+  return { version, main: mainOf(shares), split, giveUpUs: parseSpan(then["giveUp"]).unwrapOr(0) };
 };
--- /dev/null
+++ b/src/inspection/usage-counts.ts
@@ -0,0 +1,55 @@
+import type { Message } from "../trackbed/wire.js";
+
+/** Invariant: every figure only rises within a life, so a report that comes twice, late or out of order adds nothing. */
+interface Usage {
+  arrived: number;
+  refused: number;
+  answered: number;
+  busyUs: number;
+}
+
+/**
+ * What one pointsman sees arriving and being answered, by service and by the cell of the workers: cheap, local, and
+ * never waited on. What arrives and what is refused for want of room has no workers' cell, and stands under "".
+ */
+export class UsageCounts {
+  private readonly counts = new Map<string, Usage>();
+  private readonly changed = new Set<string>();
+
+  constructor(private readonly life: string) {}
+
+  readonly arrived = (service: string): void => {
+    this.of(service, "").arrived += 1;
+  };
+
+  readonly refused = (service: string): void => {
+    this.of(service, "").refused += 1;
+  };
+
+  readonly answered = (service: string, cell: string, tookUs: number): void => {
+    const usage = this.of(service, cell);
+    usage.answered += 1;
+    usage.busyUs += tookUs;
+  };
+
+  readonly takeReport = (): Message | undefined => {
+    if (this.changed.size === 0) return undefined;
+    const rows = [...this.changed].map((key) => {
+      const [service = "", cell = ""] = key.split("|");
+      const { arrived, refused, answered, busyUs } = this.counts.get(key) ?? NONE;
+      return [service, cell, arrived, refused, answered, busyUs];
+    });
+    this.changed.clear();
+    return { kind: "usage", life: this.life, rows };
+  };
+
+  private readonly of = (service: string, cell: string): Usage => {
+    const key = `${service}|${cell}`;
+    const usage = this.counts.get(key) ?? { ...NONE };
+    this.counts.set(key, usage);
+    this.changed.add(key);
+    return usage;
+  };
+}
+
+const NONE: Readonly<Usage> = { arrived: 0, refused: 0, answered: 0, busyUs: 0 };
--- a/src/interlocking/duty.ts
+++ b/src/interlocking/duty.ts
@@ -72,12 +72,20 @@
     }
   };
 
+  /** Gives the duty to the first standing member that fits. */
+  readonly handTo = async (fits: (id: string) => boolean): Promise<boolean> => {
+    const { self, ledger, stands, ask } = this.options;
+    const other = ledger.members().find((id) => id !== self && stands(id) && fits(id));
+    if (!this.isHolder() || other === undefined) return false;
+    const reply = await ask(other, { kind: "succeed", namedBy: self }, STORE_WAIT_US);
+    return reply !== undefined && flag(reply, "yes");
+  };
+
   /** Before an orderly end: name a successor if this one holds the duty, then leave the roster. */
   readonly handOver = async (): Promise<void> => {
     this.stop();
-    const { self, ledger, stands, ask } = this.options;
-    const others = ledger.members().filter((id) => id !== self && stands(id));
-    if (this.isHolder() && others[0] !== undefined) await ask(others[0], { kind: "succeed", namedBy: self }, STORE_WAIT_US);
+    const { self, ledger, ask } = this.options;
+    await this.handTo(() => true);
     const holder = this.holder();
     if (holder !== self && ledger.isMember()) await ask(holder, { kind: "leave", id: self }, STORE_WAIT_US);
   };
--- a/src/programs/control.ts
+++ b/src/programs/control.ts
@@ -5,6 +5,7 @@
 import { readBeat, type Beat, type Registry } from "../signalling/registry.js";
 import type { OutcomeName } from "../trackbed/outcomes.js";
 import { isRec, parseJson, type Rec } from "../trackbed/shape.js";
+import { parseSpan } from "../trackbed/span.js";
 import type { Call, Entry, Verdict } from "./dispatch.js";
 
 /** What can go wrong with a call, in this layer's own words. */
@@ -125,8 +126,14 @@
 export interface Orders {
   readonly shift: (cell: string, why: string) => Promise<boolean>;
   readonly clearRollout: (route: string, version: number | undefined) => Promise<OutcomeName>;
+  readonly window: (order: WindowCall) => Promise<Verdict>;
 }
 
+export type WindowCall =
+  | { readonly what: "add"; readonly cell: string; readonly opensUs: number; readonly lastsUs: number }
+  | { readonly what: "cancel"; readonly id: string }
+  | { readonly what: "extend"; readonly id: string; readonly byUs: number };
+
 const bodyOf = (call: Call): Rec => {
   try {
     const value = parseJson(call.body);
@@ -148,6 +155,21 @@
   return { outcome: await orders.clearRollout(call.segments[1] ?? "", version) };
 };
 
+const span = (value: unknown): number => parseSpan(value).unwrapOr(Number.NaN);
+
+const addWindow = async (orders: Orders, call: Call): Promise<Verdict> => {
+  const { cell, opens, lasts } = bodyOf(call);
+  const [opensUs, lastsUs] = [span(opens), span(lasts)];
+  if (typeof cell !== "string" || Number.isNaN(opensUs) || Number.isNaN(lastsUs)) return { outcome: "wrong", body: { problem: "cell must be text, opens and lasts spans such as 90s" } };
+  return orders.window({ what: "add", cell, opensUs, lastsUs });
+};
+
+const extendWindow = async (orders: Orders, call: Call): Promise<Verdict> => {
+  const byUs = span(bodyOf(call)["by"]);
+  if (Number.isNaN(byUs)) return { outcome: "wrong", body: { problem: "by must be a span such as 90s" } };
+  return orders.window({ what: "extend", id: call.segments[1] ?? "", byUs });
+};
+
 export const controlEntries = (commands: Commands, queries: Queries, orders: Orders): readonly Entry[] => [
   { method: "POST", path: "/plan/change", act: commands.changePlan },
   { method: "GET", path: "/plan/read", act: queries.readPlan },
@@ -156,5 +178,8 @@
   { method: "POST", path: "/purge", act: commands.purge },
   { method: "GET", path: "/tell/*", act: queries.tell },
   { method: "POST", path: "/cells/shift", act: (call) => shiftCell(orders, call) },
+  { method: "POST", path: "/windows", act: (call) => addWindow(orders, call) },
+  { method: "POST", path: "/windows/*/cancel", act: (call) => orders.window({ what: "cancel", id: call.segments[1] ?? "" }) },
+  { method: "POST", path: "/windows/*/extend", act: (call) => extendWindow(orders, call) },
   { method: "POST", path: "/rollouts/*/clear", act: (call) => clearRollout(orders, call) },
 ];
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -1,4 +1,5 @@
 import { FaultCounts } from "../inspection/counts.js";
+import { UsageCounts } from "../inspection/usage-counts.js";
 import { RolloutCounts } from "../inspection/rollout-counts.js";
 import type { Crew } from "../signalling/feeder.js";
 import { Allowance } from "../traction/allowance.js";
@@ -37,6 +38,7 @@
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
   const counts = new FaultCounts(life);
   const rollouts = new RolloutCounts(life);
+  const usage = new UsageCounts(life);
   const allowances = new Map<string, Allowance>();
   const tallies = new Map<string, number>();
   let crew: Crew = { pointsmen: 1, cells: {} };
@@ -73,6 +75,8 @@
     },
     countRollout: (route, service, stratum, outcome) => rollouts.count(route.name, route.version, service, `${settings.cell}|${stratum}`, outcome),
     random: Math.random,
+    usage,
+    acts: settings.forecastActs,
     ...(goods ? { goods: goods.goods, desk: goods.desk } : {}),
   });
 
@@ -81,6 +85,7 @@
     yard.take(facts);
     rollouts.keepOnly(table.isInForce);
     front.takeLimits();
+    front.setEmptied(yard.isEmptied(settings.cell));
     front.wake();
   });
   board.events.on("forgotten", (keys) => {
@@ -93,7 +98,7 @@
     allowances.forEach((allowance) => allowance.setCrew(told.pointsmen));
   });
 
-  const isReady = (): boolean => !leaving && table.isHeld && yard.size > 0;
+  const isReady = (): boolean => !leaving && !yard.isEmptied(settings.cell) && table.isHeld && yard.size > 0;
   const ready = await serveCalls(settings.ready, [
     { method: "GET", path: "/ready", act: async () => ({ outcome: isReady() ? "taken" : "noPlan" }) },
     {
@@ -131,6 +136,8 @@
   const report = clock.every(REPORT_US, () => {
     const message = counts.takeReport();
     if (message) taker.report(message);
+    const used = usage.takeReport();
+    if (used) taker.report(used);
     yard.trim();
   });
   log.info(`Up at ${settings.front}.`);
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -1,15 +1,18 @@
+import { randomUUID } from "node:crypto";
 import { join } from "node:path";
 import { Archive } from "../interlocking/archive.js";
 import { isPlanKey } from "../interlocking/check.js";
 import { Duty } from "../interlocking/duty.js";
-import { Ledger, membersOf, ROSTER_KEY, STORE_WAIT_US } from "../interlocking/ledger.js";
+import { Ledger, membersOf, quorumOf, ROSTER_KEY, STORE_WAIT_US } from "../interlocking/ledger.js";
 import { makeRegister, Registers, type Register } from "../interlocking/register.js";
+import { Forecaster, FORECAST_TERMS, readVerdicts } from "../inspection/forecast.js";
 import { Inspector, NO_DECISIONS, readDecisions, type Decisions } from "../inspection/inspector.js";
 import { TRIAL_TERMS } from "../inspection/evidence.js";
 import { TERMS } from "../inspection/ranking.js";
 import { NO_ROLLOUTS, readRolloutState, RolloutInspector, type ClearMishap, type RolloutState } from "../inspection/rollout-inspector.js";
+import { readWindows, WINDOW_SENTENCES, WINDOW_TERMS, Windows, type WindowMishap, type WindowState } from "../inspection/windows.js";
 import { SplitRoutes } from "../inspection/split-routes.js";
-import { Board, EJECTIONS_KEY, PLAN_PREFIX, ROLLOUTS_KEY, WORKER_PREFIX, type NewFact } from "../signalling/board.js";
+import { Board, EJECTIONS_KEY, FORECAST_KEY, PLAN_PREFIX, ROLLOUTS_KEY, WORKER_PREFIX, type NewFact } from "../signalling/board.js";
 import { Colleagues } from "../signalling/colleagues.js";
 import { Feeder } from "../signalling/feeder.js";
 import { readSharedBeat, Registry, type Beat } from "../signalling/registry.js";
@@ -17,20 +20,24 @@
 import { Switchboard } from "../signalling/switchboard.js";
 import type { Clock, Pulse } from "../trackbed/clock.js";
 import { logFor } from "../trackbed/log.js";
-import type { OutcomeName } from "../trackbed/outcomes.js";
+import { OUTCOME_NAMES, type OutcomeName } from "../trackbed/outcomes.js";
 import type { Settings } from "../trackbed/settings.js";
-import { flag, list, parseJson, text, asRec } from "../trackbed/shape.js";
+import { flag, list, parseJson, text, asRec, whole } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import { TIMES } from "./member.js";
-import { Commands, controlEntries, Queries } from "./control.js";
-import { serveCalls } from "./dispatch.js";
+import { Commands, controlEntries, Queries, type WindowCall } from "./control.js";
+import { serveCalls, type Verdict } from "./dispatch.js";
 import type { Running } from "./running.js";
 
 const SWEEP_US = 1 * SECOND;
 const REMEMBER_US = 500 * MS;
 const EJECTIONS_REGISTER = "duty/ejections";
 const ROLLOUTS_REGISTER = "duty/rollouts";
+const FORECAST_REGISTER = "duty/forecast";
+const WINDOWS_REGISTER = "duty/windows";
+/** What is learned so soon after a start may have been so for any time. */
+const YOUNG_US = 10 * SECOND;
 const EPOCH_ROOM = 1_000_000;
 const ROUTE_PREFIX = "route/";
 
@@ -101,7 +108,7 @@
   /** Invariant: true once a majority has been read in this life, so that what is fed is never a part of the plan. */
   let hasMended = false;
   const isFit = () => hasMended && !isAdrift();
-  const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes, answer: (message, node) => answerNode(message, node) });
+  const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes, cell: settings.cell, emptiedCell: () => emptiedCell(), answer: (message, node) => answerNode(message, node) });
 
   /** Makes what the duty's holder decided durable under its epoch. */
   const publish = async (key: string, wanted: unknown): Promise<boolean> => {
@@ -140,6 +147,79 @@
     publish: (wanted) => publish(ROLLOUTS_REGISTER, wanted),
   });
 
+  /** The cell that a window empties, by what is published; its relays and its signalbox serve nobody elsewhere. */
+  const emptiedCell = (): string => {
+    const { shift } = decisions();
+    return shift?.why === "window" && shift.unsafe === 1 ? shift.cell : "";
+  };
+
+  const verdicts = () => published(FORECAST_REGISTER, readVerdicts, {});
+  const forecaster = new Forecaster({
+    clock,
+    log: logFor("forecast"),
+    terms: FORECAST_TERMS,
+    isHolder: duty.isHolder,
+    workers: () => {
+      const ejected = new Set(decisions().ejections.map(({ worker }) => worker));
+      return registry.all().map((beat) => ({ id: beat.id, service: beat.service, cell: beat.cell, capacity: beat.capacity, isUsed: beat.state === "ready" && !ejected.has(beat.id) }));
+    },
+    nodes: () => sessions.crew().pointsmen,
+    published: verdicts,
+    publish: (wanted) => publish(FORECAST_REGISTER, wanted),
+  });
+
+  const upUs = clock.nowUs();
+  /** When this process learned of the windows as they stand; not known while they are as found on disk or soon after. */
+  let windowsSinceUs: number | undefined;
+  const windowState = (): WindowState => published(WINDOWS_REGISTER, readWindows, []);
+  const windows = new Windows({
+    clock,
+    log: logFor("window"),
+    terms: WINDOW_TERMS,
+    isHolder: duty.isHolder,
+    state: windowState,
+    knownUs: () => (windowsSinceUs === undefined || windowsSinceUs - upUs < YOUNG_US ? undefined : clock.nowUs() - windowsSinceUs),
+    publish: (wanted) => publish(WINDOWS_REGISTER, { windows: wanted }),
+    shift: () => decisions().shift,
+    setShift: inspector.setShift,
+    cells: () => [...new Set([...registry.all().map(({ cell }) => cell), ...sessions.nodes().map(({ cell }) => cell)])],
+    workers: () => registry.all().map(({ cell, service, capacity, state }) => ({ cell, service, capacity, isReady: state === "ready" })),
+    longestBudgetUs: splitRoutes.longestGiveUpUs,
+    isBorne: (cell) => {
+      const members = ledger.members();
+      return members.filter((id) => colleagues.stands(id) && colleagues.cellOf(id) !== cell).length >= quorumOf(members, settings.withstandMachines);
+    },
+    inFlight: forecaster.inFlight,
+    leaveDuty: async (cell) => {
+      if (cell === settings.cell) await duty.handTo((id) => colleagues.cellOf(id) !== cell);
+    },
+  });
+  const windowMishap = (mishap: WindowMishap): Verdict => {
+    const outcome: OutcomeName =
+      mishap === "noQuorum" ? "noQuorum" : mishap === "unknownWindow" ? "unknownWindow" : mishap === "unknownCell" || mishap === "wrongLength" ? "wrong" : "refusedOrder";
+    return { outcome, body: { problem: WINDOW_SENTENCES[mishap] } };
+  };
+  const windowHere = async (order: WindowCall): Promise<Verdict> => {
+    if (order.what !== "add") {
+      const mishap = await (order.what === "cancel" ? windows.cancel(order.id) : windows.extend(order.id, order.byUs));
+      return mishap === undefined ? { outcome: "taken" } : windowMishap(mishap);
+    }
+    const id = randomUUID().slice(0, 8);
+    const added = await windows.add(order, id);
+    return typeof added === "string" ? windowMishap(added) : { outcome: "taken", body: { id, warnings: added } };
+  };
+  const readWindowCall = (message: Message): WindowCall => {
+    const what = text(message, "what");
+    if (what === "add") return { what, cell: text(message, "cell"), opensUs: whole(message, "opensUs"), lastsUs: whole(message, "lastsUs") };
+    return what === "extend" ? { what, id: text(message, "id"), byUs: whole(message, "byUs") } : { what: "cancel", id: text(message, "id") };
+  };
+  const window = async (order: WindowCall): Promise<Verdict> => {
+    if (duty.isHolder()) return windowHere(order);
+    const reply = await colleagues.ask(duty.holder(), { kind: "window", ...order }, 2 * STORE_WAIT_US);
+    const outcome = OUTCOME_NAMES.find((name) => name === reply?.["outcome"]);
+    return outcome === undefined ? windowMishap("noQuorum") : { outcome, body: asRec(reply?.["body"] ?? {}) };
+  };
+
   const share = async (beats: readonly Beat[], waits: boolean): Promise<boolean> => {
     const message: Message = { kind: "beats", beats };
     if (!waits) {
@@ -187,7 +267,7 @@
     const outcome = ["taken" as const, ...Object.values(CLEAR_OUTCOMES)].find((name) => name === reply?.["outcome"]);
     return outcome ?? "noQuorum";
   };
-  const tellers: Readonly<Record<string, () => unknown>> = { inspection: inspector.explain, rollouts: rollouts.explain };
+  const tellers: Readonly<Record<string, () => unknown>> = { inspection: inspector.explain, rollouts: rollouts.explain, forecast: forecaster.explain, windows: windows.explain };
   /** What only the holder knows is asked of the holder. */
   const tellOfHolder = async (what: string): Promise<unknown> => {
     if (duty.isHolder()) return tellers[what]?.();
@@ -209,6 +289,13 @@
         return { kind: "done", yes: await shiftHere(text(message, "cell"), text(message, "why")) };
       case "clear":
         return { kind: "done", outcome: await clearHere(text(message, "route"), typeof message["version"] === "number" ? message["version"] : undefined) };
+      case "window": {
+        const verdict = await windowHere(readWindowCall(message));
+        return { kind: "done", outcome: verdict.outcome, body: verdict.body ?? {} };
+      }
+      case "usage":
+        forecaster.take(message);
+        return undefined;
       case "tell":
         return { kind: "done", told: tellers[text(message, "what")]?.() };
       case "beats":
@@ -247,6 +334,10 @@
     const facts = settled.filter((register) => isPlanKey(register.key)).map(factOf);
     const ejections = settled.find((register) => register.key === EJECTIONS_REGISTER);
     board.post(facts);
+    if (ejections) sessions.leaveEmptied();
+    const pressed = settled.find((register) => register.key === FORECAST_REGISTER);
+    if (pressed) board.post([{ key: FORECAST_KEY, version: pressed.version, tie: pressed.digest, body: asRec(parseJson(pressed.body)) }]);
+    if (settled.some((register) => register.key === WINDOWS_REGISTER)) windowsSinceUs = clock.nowUs();
     if (ejections) board.post([{ key: EJECTIONS_KEY, version: ejections.version, tie: ejections.digest, body: asRec(parseJson(ejections.body)) }]);
     const stops = settled.find((register) => register.key === ROLLOUTS_REGISTER);
     if (stops) board.post([{ key: ROLLOUTS_KEY, version: stops.version, tie: stops.digest, body: asRec(parseJson(stops.body)) }]);
@@ -256,6 +347,11 @@
     const roster = settled.find((register) => register.key === ROSTER_KEY);
     if (roster) colleagues.learn(membersOf(roster));
   });
+  const reportTakers = new Map<string, { readonly take: (report: Message) => void }>([
+    ["faults", inspector],
+    ["rollout", rollouts],
+    ["usage", forecaster],
+  ]);
   sessions.events.on("own", () => {
     colleagues.send(sessions.pack());
     tellCrew();
@@ -263,8 +359,9 @@
   sessions.events.on("changed", tellCrew);
   sessions.events.on("report", (message) => {
     content?.hear(message);
-    if (message.kind !== "faults" && message.kind !== "rollout") return;
-    if (duty.isHolder()) (message.kind === "faults" ? inspector : rollouts).take(message);
+    const taker = reportTakers.get(message.kind);
+    if (!taker) return;
+    if (duty.isHolder()) taker.take(message);
     else void colleagues.ask(duty.holder(), message, 0);
   });
   colleagues.events.on("up", (id) => {
@@ -321,9 +418,11 @@
     duty: () => ({ holder: duty.holder(), epoch: duty.epoch(), here: duty.isHolder(), roster: ledger.members(), counting: ledger.isCounting }),
     inspection: () => tellOfHolder("inspection"),
     rollouts: () => tellOfHolder("rollouts"),
+    forecast: () => tellOfHolder("forecast"),
+    windows: () => tellOfHolder("windows"),
     ...(content?.tellers ?? {}),
   });
-  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout }));
+  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout, window }));
   const early = clock.every(100 * MS, () => {
     if (hasMended) early.stop();
     else void sweep();
@@ -332,6 +431,8 @@
   duty.start();
   inspector.start();
   rollouts.start();
+  forecaster.start();
+  windows.start();
   log.info(`Up at ${self}.`);
 
   return {
@@ -339,6 +440,8 @@
       log.info("Leaving.");
       inspector.stop();
       rollouts.stop();
+      forecaster.stop();
+      windows.stop();
       await duty.handOver();
       pulse.stop();
       content?.stop();
--- a/src/signalling/board.ts
+++ b/src/signalling/board.ts
@@ -66,4 +66,5 @@
 export const PURGE_PREFIX = "purge/";
 export const PLAN_PREFIX = "plan/";
 export const EJECTIONS_KEY = "ejections";
+export const FORECAST_KEY = "forecast";
 export const ROLLOUTS_KEY = "rollouts";
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -41,6 +41,9 @@
   readonly log: Log;
   /** Whether this signalbox may feed: it has a plan to give and a majority in reach. */
   readonly isFit: () => boolean;
+  /** The cell that a planned window empties: it feeds nobody, and its signalbox serves its own nodes only. */
+  readonly emptiedCell: () => string;
+  readonly cell: string;
   readonly boxes: () => readonly Rec[];
   /** Answers what a node asks over its session. */
   readonly answer: (message: Message, node: string) => Promise<Message>;
@@ -58,11 +61,11 @@
   constructor(private readonly options: SessionsOptions) {}
 
   readonly serve = async (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
-    if (!this.options.isFit()) {
+    const node = readNode(hello["node"]);
+    if (!this.options.isFit() || this.isElsewhere(node)) {
       wire.send({ kind: "adrift", boxes: this.options.boxes() });
       return;
     }
-    const node = readNode(hello["node"]);
     const session: Session = { node, wire, parent: "" };
     this.own.get(node.name)?.wire.close();
     this.own.set(node.name, session);
@@ -86,6 +89,15 @@
   /** Ends every session, so that the pointsmen look for a signalbox that has a majority. */
   readonly dismiss = (): void => this.own.forEach((session) => session.wire.close());
 
+  /** Moves everybody off the relays and the signalbox of the emptied cell. */
+  readonly leaveEmptied = (): void => {
+    const emptied = this.options.emptiedCell();
+    this.own.forEach((session) => {
+      if (this.isElsewhere(session.node)) session.wire.close();
+      else if (session.node.cell !== emptied && [...this.own.values()].some(({ node }) => node.relay === session.parent && node.cell === emptied)) this.assign(session, session.parent);
+    });
+  };
+
   readonly tellBoxes = (): void => this.own.forEach((session) => session.wire.send({ kind: "boxes", boxes: this.options.boxes() }));
 
   readonly pack = (): Message => ({ kind: "sessions", nodes: [...this.own.values()].map((session) => ({ ...session.node })) });
@@ -116,6 +128,11 @@
     return { pointsmen: nodes.length, cells, ...(depots.length > 0 ? { depots } : {}) };
   };
 
+  private readonly isElsewhere = (node: Node): boolean => {
+    const emptied = this.options.emptiedCell();
+    return emptied !== "" && emptied === this.options.cell && node.cell !== emptied;
+  };
+
   private readonly answerNode = async (session: Session, message: Message, ask: number): Promise<void> => {
     try {
       session.wire.send({ ...(await this.options.answer(message, session.node.name)), re: ask });
@@ -128,7 +145,7 @@
   private readonly assign = (session: Session, failed: string): void => {
     const { feeder } = this.options;
     feeder.release(session.wire);
-    const relays = [...this.own.values()].filter((other) => other !== session && other.parent === "" && other.node.relay !== failed);
+    const relays = [...this.own.values()].filter((other) => other !== session && other.parent === "" && other.node.relay !== failed && other.node.cell !== this.options.emptiedCell());
     const childrenOf = (relay: string) => [...this.own.values()].filter((other) => other.parent === relay).length;
     const best = relays.sort((a, b) => childrenOf(a.node.relay) - childrenOf(b.node.relay))[0];
     session.parent = feeder.size < FAN_OUT || failed !== "" || !best ? "" : best.node.relay;
--- a/src/trackbed/outcomes.ts
+++ b/src/trackbed/outcomes.ts
@@ -22,6 +22,8 @@
   noKey: row(400, "an operation key of 1 to 200 signs is wanted"),
   keyAtWork: row(409, "the key is at work"),
   pastTheEnd: row(416, "past the end"),
+  unknownWindow: row(404, "no such window"),
+  refusedOrder: row(409, "refused"),
   noPlan: row(503, "no plan yet", true),
   full: row(503, "full", true),
   noRate: row(503, "the origin's rate is spent", true),
@@ -36,3 +38,6 @@
 } as const satisfies Readonly<Record<string, Outcome>>;
 
 export type OutcomeName = keyof typeof OUTCOMES;
+
+const isName = (name: string): name is OutcomeName => name in OUTCOMES;
+export const OUTCOME_NAMES: readonly OutcomeName[] = Object.keys(OUTCOMES).filter(isName);
--- a/src/trackbed/settings.ts
+++ b/src/trackbed/settings.ts
@@ -74,6 +74,7 @@
       lostUnsafe: { format: "weight", default: 2 },
       doubled: { format: "weight", default: 5 },
     },
+    forecast: { acts: { format: Boolean, default: false } },
     withstand: { machines: { format: "nat", default: 0 } },
     bounds: {
       drain: { format: "span", default: -1 },
@@ -130,6 +131,8 @@
   readonly staleSlackUs: number;
   readonly ceilingWindowUs: number;
   readonly ceilingExcess: number;
+  /** Whether what the forecast says is acted on, or only told. */
+  readonly forecastActs: boolean;
   /** How heavy each loss weighs when a new route version is judged. */
   readonly rolloutWeights: { readonly late: number; readonly lostSafe: number; readonly lostUnsafe: number; readonly doubled: number };
 }
@@ -173,6 +176,7 @@
       staleSlackUs: cfg.get("bounds.staleSlack"),
       ceilingWindowUs: cfg.get("bounds.ceilingWindow"),
       ceilingExcess: cfg.get("bounds.ceilingExcess"),
+      forecastActs: cfg.get("forecast.acts"),
       rolloutWeights: cfg.get("rollout"),
     });
   } catch (mishap) {
--- a/src/traction/choose.ts
+++ b/src/traction/choose.ts
@@ -7,11 +7,15 @@
   /** How many connections this node may hold to one worker of the service. */
   readonly connectionShare: (service: string) => number;
   /** How many other nodes choose among the workers of this cell, and among all. */
+  /** Whether what the forecast says is acted on. */
+  readonly acts?: boolean;
   readonly otherNodes: () => { readonly here: number; readonly everywhere: number };
 }
 
 /** Beyond this many calls for each slot a worker is left alone, since a full one resets connections. */
 const FULL_AT = 2;
+/** The same for safe requests while the forecast warns: the rest is kept for those that can't be repeated. */
+const PRESSED_AT = 1.5;
 /** A call to another cell must be quicker by this part of the aim: it costs time and bytes between cells. */
 const FAR_PART = 5;
 
@@ -19,15 +23,17 @@
 export class Chooser {
   constructor(private readonly options: ChooserOptions) {}
 
-  readonly choose = (service: string, tried: ReadonlySet<string>, aimUs: number): Worker | undefined => {
-    const { yard, cell, connectionShare } = this.options;
+  readonly choose = (service: string, tried: ReadonlySet<string>, aimUs: number, isSafe = true): Worker | undefined => {
+    const { yard, cell, connectionShare, random } = this.options;
     const share = connectionShare(service);
+    const avoided = yard.avoidedCell(isSafe, random);
+    const fullAt = isSafe && this.options.acts === true && yard.pressure(service) !== "" ? PRESSED_AT : FULL_AT;
     const usable = yard
       .of(service)
-      .filter((worker) => worker.state === "ready" && !tried.has(worker.id) && worker.hasRoom(share) && worker.usage(this.othersOf(worker)) < worker.capacity * FULL_AT);
+      .filter((worker) => worker.state === "ready" && !tried.has(worker.id) && worker.hasRoom(share) && worker.usage(this.othersOf(worker)) < worker.capacity * fullAt);
     const wanted = usable.filter((worker) => !worker.isShunned() && !yard.isEjected(worker));
-    const near = this.better(wanted.filter((worker) => worker.cell === cell && worker.cell !== yard.shiftedCell));
-    const far = this.better(wanted.filter((worker) => worker.cell !== cell && worker.cell !== yard.shiftedCell));
+    const near = this.better(wanted.filter((worker) => worker.cell === cell && worker.cell !== avoided));
+    const far = this.better(wanted.filter((worker) => worker.cell !== cell && worker.cell !== avoided));
     if (near && far) return this.costUs(near) <= this.costUs(far) + aimUs / FAR_PART ? near : far;
     return near ?? far ?? this.better(wanted) ?? this.better(usable.filter((worker) => !worker.isShunned()));
   };
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -35,6 +35,10 @@
   /** Counts an outcome of a route that sends to more than one service. */
   readonly countRollout: (route: Route, service: string, stratum: string, outcome: RolloutOutcome) => void;
   readonly random: () => number;
+  /** Counts what arrives and is answered, for the forecast. */
+  readonly usage?: { readonly arrived: (service: string) => void; readonly refused: (service: string) => void; readonly answered: (service: string, cell: string, tookUs: number) => void };
+  /** Whether what the forecast says is acted on. */
+  readonly acts?: boolean;
   /** Where objects of cached routes come from; without it they are carried like any safe request. */
   readonly goods?: ObjectSource;
   /** Where operation keys are claimed; without it keyed requests are refused. */
@@ -87,12 +91,13 @@
   /** Requests read and not yet answered. */
   private open = 0;
   private leaving = false;
+  private emptied = false;
 
   constructor(private readonly options: FrontOptions) {
-    const { yard, cell, random, connectionShare, otherNodes, clock } = options;
+    const { yard, cell, random, connectionShare, otherNodes, clock, acts } = options;
     this.room = new Room(options.roomBytes);
-    this.chooser = new Chooser({ yard, cell, random, connectionShare, otherNodes });
-    this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0));
+    this.chooser = new Chooser({ yard, cell, random, connectionShare, otherNodes, ...(acts === true ? { acts } : {}) });
+    this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0, trip.route?.isSafe ?? true));
     this.reading = new Stage(MOST_READING, MOST_READING, this.read);
     this.carrying = new Stage(MOST_CARRIED, MOST_CARRIED, this.carry, (trip) => trip.route?.rank ?? 0);
     const app = express();
@@ -132,6 +137,11 @@
     this.leaving = true;
   };
 
+  /** While its cell is emptied for a window, answers close their connections, so that callers go elsewhere. */
+  readonly setEmptied = (emptied: boolean): void => {
+    this.emptied = emptied;
+  };
+
   readonly stopListening = (): void => {
     this.server.close();
     this.server.closeIdleConnections();
@@ -248,6 +258,7 @@
       return;
     }
     allowanceOf(trip.service).count();
+    this.options.usage?.arrived(trip.service);
     if (!this.carrying.offer(trip)) this.refuse(trip, "full");
   };
 
@@ -325,9 +336,10 @@
     if (this.options.goods && (this.options.table.service(trip.service)?.ratePerS ?? 0) > 0 && !(await this.options.goods.permit(trip.service))) return this.refuse(trip, "noRate");
     let lastAnswer: Answer | undefined;
     while (!trip.over && !trip.line.closing) {
-      if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && allowanceOf(trip.service).spend())) break;
+      if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && !this.isPressed(trip, route) && allowanceOf(trip.service).spend())) break;
       const worker = await this.gate.pass(trip, this.gateWaitUs(trip, route));
       if (trip.over || !worker) break;
+      if (this.wouldBeLate(trip, route, worker)) break;
       const verdict = await this.call(trip, route, worker);
       if (verdict.kind === "answered" && trip.claim) await this.keep(trip, verdict.answer);
       if (trip.over || verdict.kind === "cancelled") return;
@@ -351,7 +363,7 @@
       const early = await within(clock, SILENCE_CHECK_US, first.verdict, undefined);
       if (early) return early;
       if (trip.over) return { kind: "cancelled" };
-      if (!worker.isSilent() || trip.sends >= route.tries || !isHeldBody(trip)) continue;
+      if (!worker.isSilent() || this.isPressed(trip, route) || trip.sends >= route.tries || !isHeldBody(trip)) continue;
       const other = this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0);
       if (!other || !allowanceOf(trip.service).spend()) continue;
       const second = this.start(trip, other);
@@ -363,8 +375,18 @@
     }
   };
 
+  /** Repeats of safe requests stop before they take room that a pressed service lacks. */
+  private readonly isPressed = (trip: Trip, route: Route): boolean => this.options.acts === true && route.isSafe && this.options.yard.pressure(trip.service) !== "";
+
+  /** At a pressed service one that can't be repeated is refused before it is offered, rather than broken off in work. */
+  private readonly wouldBeLate = (trip: Trip, route: Route, worker: Worker): boolean => {
+    const { acts, yard, clock } = this.options;
+    return acts === true && !route.isSafe && yard.pressure(trip.service) === "overrun" && worker.guessUs(0) > trip.budgetUs - clock.nowUs();
+  };
+
   private readonly start = (trip: Trip, worker: Worker): Calling => {
-    const { clock, countFault } = this.options;
+    const { clock, countFault, usage } = this.options;
+    const startedUs = clock.nowUs();
     const heads = passOn(trip.req.rawHeaders, NOT_PASSED_ON);
     const leftMs = Math.max(1, Math.floor((trip.budgetUs - clock.nowUs()) / MS));
     heads.push("Yewreel-Time-Left-Ms", String(leftMs), "Yewreel-Expect-Worker", worker.id);
@@ -377,6 +399,7 @@
     trip.calls.add(call);
     void call.verdict.then((verdict) => {
       trip.calls.delete(call);
+      if (verdict.kind === "answered" || verdict.kind === "lost") usage?.answered(trip.service, worker.cell, clock.nowUs() - startedUs);
       if (verdict.kind === "answered") trip.hasRun = true;
       if (verdict.kind === "lost") {
         trip.mayHaveRun = true;
@@ -436,6 +459,7 @@
     const { res, route } = trip;
     if (trip.over || res.headersSent) return;
     const outcome = OUTCOMES[name];
+    if (name === "full" && trip.service !== "") this.options.usage?.refused(trip.service);
     this.count(trip, name);
     this.countSplit(trip, () => (!trip.mayHaveRun && trip.linkMishap ? "own" : lossOf(trip, trip.mayHaveRun)));
     this.markClosing(trip, outcome.closes);
@@ -447,7 +471,7 @@
   };
 
   private readonly markClosing = (trip: Trip, closes: boolean): void => {
-    if (!closes && !(this.leaving && trip.line.open === 1)) return;
+    if (!closes && !((this.leaving || this.emptied) && trip.line.open === 1)) return;
     trip.line.closing = true;
     trip.res.setHeader("Connection", "close");
   };
--- a/src/traction/yard.ts
+++ b/src/traction/yard.ts
@@ -1,5 +1,5 @@
 import { Client } from "undici";
-import { EJECTIONS_KEY, WORKER_PREFIX, type Fact } from "../signalling/board.js";
+import { EJECTIONS_KEY, FORECAST_KEY, WORKER_PREFIX, type Fact } from "../signalling/board.js";
 import type { Clock } from "../trackbed/clock.js";
 import { asRec, list, text, whole } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
@@ -188,7 +188,10 @@
   private readonly byService = new Map<string, Worker[]>();
   private readonly means = new Map<string, ServiceMean>();
   private ejected: ReadonlySet<string> = new Set();
-  shiftedCell = "";
+  /** Invariant: the parts of safe and of unsafe requests that go elsewhere are 0 where no cell is shifted away from. */
+  private shifted = { cell: "", why: "", safe: 0, unsafe: 0 };
+  /** What the forecast says of services that near or pass what they can keep up with. */
+  private pressed: ReadonlyMap<string, string> = new Map();
 
   constructor(private readonly clock: Clock) {}
 
@@ -202,9 +205,22 @@
 
   readonly isEjected = (worker: Worker): boolean => this.ejected.has(worker.id);
 
+  /** The cell that one request is to leave alone, or none; of a part it is drawn anew for each. */
+  readonly avoidedCell = (isSafe: boolean, random: () => number): string => {
+    const { cell, safe, unsafe } = this.shifted;
+    const part = isSafe ? safe : unsafe;
+    return cell !== "" && (part >= 1 || random() < part) ? cell : "";
+  };
+
+  /** Whether a planned window has everything leave the cell, its callers too. */
+  readonly isEmptied = (cell: string): boolean => this.shifted.why === "window" && this.shifted.cell === cell && this.shifted.unsafe >= 1;
+
+  readonly pressure = (service: string): string => this.pressed.get(service) ?? "";
+
   readonly take = (facts: readonly Fact[]): void => {
     facts.forEach((fact) => {
-      if (fact.key === EJECTIONS_KEY) this.takeDecisions(fact);
+      if (fact.key === FORECAST_KEY) this.pressed = new Map(Object.entries(fact.body).map(([service, verdict]) => [service, String(verdict)]));
+      else if (fact.key === EJECTIONS_KEY) this.takeDecisions(fact);
       else if (fact.key.startsWith(WORKER_PREFIX)) this.takeWorker(fact);
     });
   };
@@ -238,7 +254,12 @@
   private readonly takeDecisions = (fact: Fact): void => {
     this.ejected = new Set(list(fact.body, "ejections", (value) => text(asRec(value), "worker")));
     const shift = fact.body["shift"];
-    this.shiftedCell = shift === undefined || shift === null ? "" : text(asRec(shift), "cell");
+    if (shift === undefined || shift === null) this.shifted = { cell: "", why: "", safe: 0, unsafe: 0 };
+    else {
+      const rec = asRec(shift);
+      const part = (field: string) => (typeof rec[field] === "number" ? whole(rec, field) : 1);
+      this.shifted = { cell: text(rec, "cell"), why: text(rec, "why"), safe: part("safe"), unsafe: part("unsafe") };
+    }
   };
 
   private readonly remove = (id: string): void => {
