--- a/src/programs/stationmaster.ts
+++ b/src/programs/stationmaster.ts
@@ -3,6 +3,7 @@
 import type { Command } from "commander";
 import { err, ok, type Result } from "true-myth/result";
 import { isRec, parseJson, type Rec } from "../trackbed/shape.js";
+import { parseSpan } from "../trackbed/span.js";
 import type { UsageRow } from "./usage-export.js";
 
 /** Exit codes: 0 done, 1 refused by the system, 2 wrong input, 3 nobody reached. */
@@ -58,6 +59,8 @@
   return [line(columns), ...rows.map((row) => line(columns.map((column) => cell(row[column]))))].join("\n");
 };
 
+const rowsOfTexts = (value: unknown): readonly string[] => (Array.isArray(value) ? value.map(cell) : []);
+
 const rowsOf = (value: unknown): readonly Rec[] => {
   if (Array.isArray(value)) return value.filter(isRec);
   return isRec(value) ? Object.entries(value).map(([what, is]) => ({ what, is })) : [];
@@ -111,6 +114,15 @@
   workers: "the workers, as their beats tell them",
   duty: "who holds the duty, its epoch, and the roster",
   inspection: "faults by worker, ejections and the shift, with what led to them",
+  keys: "operation keys and purges held, and whether this copy counts",
+  goods: "what each depot holds, hit, missed, checked and refused",
+};
+
+/** A span such as 90s, or a moment of the calendar, which is turned into the span until then. */
+const spanUntil = (when: string): Result<string, OrderMishap> => {
+  if (parseSpan(when).isOk) return ok(when);
+  const leftMs = Date.parse(when) - Date.now();
+  return leftMs > 0 ? ok(`${leftMs}ms`) : err({ code: 2, sentence: `${when} is neither a span such as 90s nor a moment to come` });
 };
 
 /** The operator's command line. Queries take --json; commands answer with one line. */
@@ -168,4 +180,54 @@
       finish(await askAny(boxesOf(options), "POST", `/rollouts/${encodeURIComponent(route)}/clear`, JSON.stringify(version === undefined ? {} : { version })), () => "Cleared.");
     },
   );
+
+  common(station.command("purge").description("end the copies of one object, or of all that carry a label").option("--host <host>", "the object's host").option("--path <path>", "the object's path").option("--label <label>", "a label")).action(
+    async (options: Common & { readonly host?: string; readonly path?: string; readonly label?: string }) => {
+      const { host, path, label } = options;
+      const isOne = label === undefined ? host !== undefined && path !== undefined : host === undefined && path === undefined;
+      if (!isOne) return finish(err({ code: 2, sentence: "give --host and --path, or --label alone" }), String);
+      finish(await askAny(boxesOf(options), "POST", "/purge", JSON.stringify(label === undefined ? { host, path } : { label })), () => "Purged.");
+    },
+  );
+
+  query(station.command("forecast [service]").description("how near each service is to what it can keep up with")).action(async (service: string | undefined, options: Common) => {
+    const told = await askAny(boxesOf(options), "GET", "/tell/forecast");
+    const rowsAll = told.isOk && isRec(told.value["forecast"]) ? rowsOf(told.value["forecast"]["services"]) : [];
+    const rows = rowsAll.filter((row) => service === undefined || row["service"] === service);
+    if (told.isOk && service !== undefined && rows.length === 0) return finish(err({ code: 1, sentence: `nothing is known of a service ${service}` }), String);
+    finish(told, () => (options.json === true ? JSON.stringify(rows, undefined, 2) : asTable(rows)));
+  });
+
+  const window = station.command("window").description("planned maintenance windows of cells");
+  const windowRows = (told: Rec): readonly Rec[] => (isRec(told["windows"]) ? rowsOf(told["windows"]["windows"]) : []);
+  common(
+    window
+      .command("add <cell>")
+      .description("plan a window; its requests move to the other cells before it opens")
+      .requiredOption("--opens <when>", "a span from now such as 600s, or a moment such as 2027-01-31T02:00Z")
+      .requiredOption("--lasts <span>", "how long it lasts, such as 1800s"),
+  ).action(async (cellName: string, options: Common & { readonly opens: string; readonly lasts: string }) => {
+    const opens = spanUntil(options.opens);
+    if (opens.isErr) return finish(err(opens.error), String);
+    if (parseSpan(options.lasts).isErr) return finish(err({ code: 2, sentence: "--lasts must be a span such as 1800s" }), String);
+    finish(await askAny(boxesOf(options), "POST", "/windows", JSON.stringify({ cell: cellName, opens: opens.value, lasts: options.lasts })), (told) =>
+      [`Window ${cell(told["id"])} is planned.`, ...rowsOfTexts(told["warnings"]).map((warning) => `Warning: ${warning}`)].join("\n"),
+    );
+  });
+  query(window.command("list").description("every window with its stage")).action(async (options: Common) => {
+    finish(await askAny(boxesOf(options), "GET", "/tell/windows"), (told) => (options.json === true ? JSON.stringify(windowRows(told), undefined, 2) : asTable(windowRows(told))));
+  });
+  query(window.command("show <id>").description("one window")).action(async (id: string, options: Common) => {
+    const told = await askAny(boxesOf(options), "GET", "/tell/windows");
+    const rows = told.isOk ? windowRows(told.value).filter((row) => row["id"] === id) : [];
+    if (told.isOk && rows.length === 0) return finish(err({ code: 1, sentence: `there is no window ${id}` }), String);
+    finish(told, () => (options.json === true ? JSON.stringify(rows[0], undefined, 2) : asTable(rowsOf(rows[0]))));
+  });
+  common(window.command("cancel <id>").description("call a window off; what has moved returns")).action(async (id: string, options: Common) => {
+    finish(await askAny(boxesOf(options), "POST", `/windows/${encodeURIComponent(id)}/cancel`), () => "Cancelled.");
+  });
+  common(window.command("extend <id>").description("make a window longer").requiredOption("--by <span>", "by how much, such as 600s")).action(async (id: string, options: Common & { readonly by: string }) => {
+    if (parseSpan(options.by).isErr) return finish(err({ code: 2, sentence: "--by must be a span such as 600s" }), String);
+    finish(await askAny(boxesOf(options), "POST", `/windows/${encodeURIComponent(id)}/extend`, JSON.stringify({ by: options.by })), () => "Extended.");
+  });
 };
