--- a/src/interlocking/check.ts
+++ b/src/interlocking/check.ts
@@ -54,7 +54,8 @@
     },
   },
   destination: {
-    validate: (value: unknown) => {
+    validate: (held: unknown) => {
+      const [value] = asList(held);
       if (!isRec(value)) throw new Error("must be a table");
       if (value["shares"] === undefined) return named(value["service"]);
       const shares = asList(value["shares"]).map((share) => asRec(share));
@@ -65,45 +66,47 @@
   },
 });
 
-const routeSchema = () =>
-  convict({
-    name: { format: "named", default: "" },
-    host: { format: "named", default: "" },
-    version: { format: "plan-version", default: -1 },
-    routeKind: { format: ["safe", "unsafe", "cached", "keyed"], default: "" },
-    cacheFor: { format: "span-or-none", default: "" },
-    target_time: { format: "span-over-0", default: "" },
-    rank: { format: "nat", default: 0 },
-    matchOn: { pathStart: { format: "path-start", default: "" } },
-    then: {
-      format: "destination",
-      default: {},
-    },
-    giveUp: { format: "give-up", default: "" },
-    tries: { format: "nat", default: 1 },
-  });
-
-const serviceSchema = () =>
-  convict({
-    name: { format: "named", default: "" },
-    version: { format: "plan-version", default: -1 },
-    statusPath: { format: "path-start", default: "" },
-    maxConnections: { format: "nat", default: 0 },
-    ratePerS: { format: "rate", default: 0 },
-    dropsRepeats: { format: Boolean, default: false },
-  });
-
-const limitsSchema = () =>
-  convict({
-    version: { format: "plan-version", default: -1 },
-    maxHeaderBytes: { format: "nat", default: 0 },
-    maxBodyBytes: { format: "nat", default: 0 },
-    headerWait: { format: "span-over-0", default: "" },
-    idle: { format: "span-over-0", default: "" },
-  });
-
-const check = (schema: { load: (conf: Rec) => unknown; validate: () => unknown }, value: Rec): void => {
-  schema.load(value);
+/**
+ * Made once for each kind of item: making a schema costs far more than using it. Invariant: each use gives every field
+ * of the schema, so that nothing of the item before is left; a list is replaced as a whole, so tables stand in one.
+ */
+const routeSchema = convict({
+  name: { format: "named", default: "" },
+  host: { format: "named", default: "" },
+  version: { format: "plan-version", default: -1 },
+  routeKind: { format: ["safe", "unsafe", "cached", "keyed"], default: "" },
+  cacheFor: { format: "span-or-none", default: "" },
+  target_time: { format: "span-over-0", default: "" },
+  rank: { format: "nat", default: 0 },
+  matchOn: { pathStart: { format: "path-start", default: "" } },
+  then: { format: "destination", default: [] },
+  giveUp: { format: "give-up", default: "" },
+  tries: { format: "nat", default: 1 },
+});
+
+const serviceSchema = convict({
+  name: { format: "named", default: "" },
+  version: { format: "plan-version", default: -1 },
+  statusPath: { format: "path-start", default: "" },
+  maxConnections: { format: "nat", default: 0 },
+  ratePerS: { format: "rate", default: 0 },
+  dropsRepeats: { format: Boolean, default: false },
+});
+
+const limitsSchema = convict({
+  version: { format: "plan-version", default: -1 },
+  maxHeaderBytes: { format: "nat", default: 0 },
+  maxBodyBytes: { format: "nat", default: 0 },
+  headerWait: { format: "span-over-0", default: "" },
+  idle: { format: "span-over-0", default: "" },
+});
+
+const ROUTE_DEFAULTS: Rec = { name: "", host: "", version: -1, routeKind: "", cacheFor: "", target_time: "", rank: 0, giveUp: "", tries: 1 };
+const SERVICE_DEFAULTS: Rec = { name: "", version: -1, statusPath: "", maxConnections: 0, ratePerS: 0, dropsRepeats: false };
+const LIMITS_DEFAULTS: Rec = { version: -1, maxHeaderBytes: 0, maxBodyBytes: 0, headerWait: "", idle: "" };
+
+const check = (schema: { load: (conf: Rec) => unknown; validate: () => unknown }, defaults: Rec, value: Rec): void => {
+  schema.load({ ...defaults, ...value });
   schema.validate();
 };
 
@@ -120,22 +123,22 @@
     ...pick(rule, ["name", "version", "routeKind", "target_time", "rank", "cacheFor"]),
     ...pick(then, ["giveUp", "tries"]),
     host,
-    matchOn: pick(matchOn, ["pathStart"]),
-    then: pick(then, ["service", "shares"]),
+    matchOn: { pathStart: matchOn["pathStart"] ?? "" },
+    then: [pick(then, ["service", "shares"])],
   };
-  check(routeSchema(), flat);
+  check(routeSchema, ROUTE_DEFAULTS, flat);
   return makeRegister(routeKey(String(rule["name"])), Number(rule["version"]), JSON.stringify({ host, rule }));
 };
 
 const serviceRegister = (value: unknown): Register => {
   const group = asRec(value, "group");
-  check(serviceSchema(), pick(group, ["name", "version", "statusPath", "maxConnections", "ratePerS", "dropsRepeats"]));
+  check(serviceSchema, SERVICE_DEFAULTS, pick(group, ["name", "version", "statusPath", "maxConnections", "ratePerS", "dropsRepeats"]));
   return makeRegister(serviceKey(String(group["name"])), Number(group["version"]), JSON.stringify(group));
 };
 
 const limitsRegister = (value: unknown): Register => {
   const limits = asRec(value, "limits");
-  check(limitsSchema(), pick(limits, ["version", "maxHeaderBytes", "maxBodyBytes", "headerWait", "idle"]));
+  check(limitsSchema, LIMITS_DEFAULTS, pick(limits, ["version", "maxHeaderBytes", "maxBodyBytes", "headerWait", "idle"]));
   return makeRegister(LIMITS_KEY, Number(limits["version"]), JSON.stringify(limits));
 };
 
@@ -150,7 +153,8 @@
 
 const listOf = (value: unknown, field: string): readonly unknown[] => (value === undefined ? [] : asList(value, field));
 
-export const readCall = (body: string): Result<readonly Register[], PlanMishap> => {
+/** Reads a call item by item; it yields between items, so that who reads a large one can let others have their turn. */
+function* reading(body: string): Generator<undefined, Result<readonly Register[], PlanMishap>, undefined> {
   let call: Rec;
   try {
     call = asRec(parseJson(body), "the call");
@@ -160,22 +164,46 @@
   try {
     const put = call["putItems"] === undefined ? {} : asRec(call["putItems"], "putItems");
     const remove = call["remove"] === undefined ? {} : asRec(call["remove"], "remove");
-    const routes = listOf(put["listeners"], "listeners").flatMap((value) => {
+    const registers: Register[] = put["limits"] === undefined ? [] : [limitsRegister(put["limits"])];
+    for (const value of listOf(put["groups"], "groups")) {
+      registers.push(serviceRegister(value));
+      yield;
+    }
+    for (const value of listOf(put["listeners"], "listeners")) {
       const listener = asRec(value, "listener");
       named(listener["host"]);
-      return listOf(listener["rules"], "rules").map((rule) => routeRegister(listener["host"], rule));
-    });
-    const services = listOf(put["groups"], "groups").map(serviceRegister);
-    const limits = put["limits"] === undefined ? [] : [limitsRegister(put["limits"])];
-    const dropped = [
-      ...listOf(remove["routes"], "routes").map(dropRegister(routeKey)),
-      ...listOf(remove["groups"], "groups").map(dropRegister(serviceKey)),
-    ];
-    return ok([...limits, ...services, ...routes, ...dropped]);
+      for (const rule of listOf(listener["rules"], "rules")) {
+        registers.push(routeRegister(listener["host"], rule));
+        yield;
+      }
+    }
+    registers.push(...listOf(remove["routes"], "routes").map(dropRegister(routeKey)));
+    registers.push(...listOf(remove["groups"], "groups").map(dropRegister(serviceKey)));
+    return ok(registers);
   } catch (mishap) {
     const sentence = mishap instanceof Error ? (mishap.message.split("\n")[0] ?? "") : "the call is wrong";
     return err({ kind: "wrong", sentence });
   }
+}
+
+export const readCall = (body: string): Result<readonly Register[], PlanMishap> => {
+  const items = reading(body);
+  for (;;) {
+    const next = items.next();
+    if (next.done) return next.value;
+  }
+};
+
+const ITEMS_A_TURN = 16;
+
+/** The same, with a turn for everything else after every few items: links must pulse while a large call is read. */
+export const readCallInTurns = async (body: string): Promise<Result<readonly Register[], PlanMishap>> => {
+  const items = reading(body);
+  for (let count = 1; ; count += 1) {
+    const next = items.next();
+    if (next.done) return next.value;
+    if (count % ITEMS_A_TURN === 0) await new Promise((resolve) => setImmediate(resolve));
+  }
 };
 
 const servicesOf = (route: Register): readonly string[] => {
--- a/src/programs/control.ts
+++ b/src/programs/control.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "true-myth/result";
-import { layOut, readCall, unknownService, isPlanKey, type PlanMishap } from "../interlocking/check.js";
+import { layOut, readCallInTurns, unknownService, isPlanKey, type PlanMishap } from "../interlocking/check.js";
 import type { Ledger, LedgerMishap } from "../interlocking/ledger.js";
 import type { Register } from "../interlocking/register.js";
 import { readBeat, type Beat, type Registry } from "../signalling/registry.js";
@@ -56,7 +56,7 @@
   constructor(private readonly options: ControlOptions) {}
 
   readonly changePlan = async (call: Call): Promise<Verdict> => {
-    const read = readCall(call.body);
+    const read = await readCallInTurns(call.body);
     if (read.isErr) return verdictOf(err(ofPlan(read.error)));
     const written = await this.write(read.value);
     return verdictOf(written);
--- a/src/traction/routes.ts
+++ b/src/traction/routes.ts
@@ -90,7 +90,7 @@
       this.held = true;
       this.takeItem(fact, hosts);
     });
-    hosts.forEach(this.sortHost);
+    if (hosts.size > 0) this.sortHosts(hosts);
   };
 
   readonly find = (host: string, path: string): Route | undefined => this.byHost.get(host)?.find((route) => path.startsWith(route.pathStart));
@@ -136,9 +136,13 @@
     };
   };
 
-  private readonly sortHost = (host: string): void => {
-    const routes = [...this.routes.values()].filter((route) => route.host === host);
-    routes.sort((a, b) => b.pathStart.length - a.pathStart.length || b.version - a.version);
-    this.byHost.set(host, routes);
+  /** Sorts the routes of the hosts that changed, in one pass over all of them. */
+  private readonly sortHosts = (hosts: ReadonlySet<string>): void => {
+    const changed = new Map<string, Route[]>([...hosts].map((host) => [host, []]));
+    this.routes.forEach((route) => changed.get(route.host)?.push(route));
+    changed.forEach((routes, host) => {
+      routes.sort((a, b) => b.pathStart.length - a.pathStart.length || b.version - a.version);
+      this.byHost.set(host, routes);
+    });
   };
 }
