--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -44,6 +44,8 @@
   retrySlack: 50,
   deployment: "",
   diskMb: 64,
+  linkMbps: 0,
+  regions: new Map(),
   stretchUs: 5_000_000,
   keyWindowUs: 60_000_000,
   purgeUs: 2_000_000,
--- a/src/goods/counter.ts
+++ b/src/goods/counter.ts
@@ -3,7 +3,7 @@
 import { flag, text, whole, type Rec } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
-import { packCopy } from "./copies.js";
+import { packCopy, readCopy, type Copy } from "./copies.js";
 import { cutOf } from "./range.js";
 import type { RateShare } from "./rate.js";
 import type { Store, Want } from "./store.js";
@@ -21,7 +21,8 @@
   untilUs: nowUs + whole(message, "leftUs"),
 });
 
-export const packWant = (want: Want, nowUs: number, range: string | undefined): Message => ({
+/** `old` is a copy whose body need not be sent again; `isHop` asks a depot that must not ask on. */
+export const packWant = (want: Want, nowUs: number, range: string | undefined, old?: Copy, isHop = false): Message => ({
   kind: "want",
   service: want.service,
   host: want.host,
@@ -31,11 +32,15 @@
   aimUs: want.aimUs,
   leftUs: Math.max(0, want.untilUs - nowUs),
   ...(range === undefined ? {} : { range }),
+  ...(old === undefined || old.etag === "" ? {} : { etag: old.etag }),
+  ...(isHop ? { isHop } : {}),
 });
 
 export interface CounterOptions {
   readonly clock: Clock;
   readonly store: Store;
+  /** For those who must not be asked on: the same copies, with the origin behind them. */
+  readonly ownStore?: Store;
   readonly rate: RateShare;
   readonly log: Log;
 }
@@ -57,10 +62,12 @@
     const { clock, store, rate } = this.options;
     if (message.kind === "permit") return { yes: rate.spend(text(message, "service")).ok };
     const want = readWant(message, clock.nowUs());
-    const kept = store.peek(want);
-    const found = kept ? await store.get(want) : await this.fetch(want, sayWait);
+    const from = flag(message, "isHop") ? (this.options.ownStore ?? store) : store;
+    const kept = from.peek(want);
+    const found = kept ? await from.get(want) : await this.fetch(from, want, sayWait);
     if (found.kind === "none") return { none: found.why, comeBackUs: found.comeBackUs };
     const { copy } = found;
+    if (copy.etag !== "" && copy.etag === message["etag"]) return { sameAgeUs: clock.nowUs() - copy.bornUs };
     const packed = packCopy(copy, clock.nowUs());
     const cut = copy.status === 200 && copy.body.length > SMALL_BYTES ? cutOf(typeof message["range"] === "string" ? message["range"] : undefined, copy.body.length) : { kind: "whole" as const };
     if (cut.kind === "whole") return { copy: packed };
@@ -68,8 +75,8 @@
     return { copy: { ...packed, body: copy.body.subarray(cut.from, cut.to + 1) }, cut: { kind: "part", from: cut.from, to: cut.to, size: copy.body.length } };
   };
 
-  private readonly fetch = (want: Want, sayWait: () => void): ReturnType<Store["get"]> => {
-    const found = this.options.store.get(want);
+  private readonly fetch = (from: Store, want: Want, sayWait: () => void): ReturnType<Store["get"]> => {
+    const found = from.get(want);
     void within(this.options.clock, 20 * MS, found, undefined).then((early) => {
       if (!early) sayWait();
     });
@@ -77,4 +84,11 @@
   };
 }
 
+/** A copy out of a reply: a new one, or the old one told to be the newest as of its age. */
+export const copyIn = (reply: Message, want: Want, old: Copy | undefined, askedUs: number): Copy | undefined => {
+  const sameAgeUs = reply["sameAgeUs"];
+  if (old && typeof sameAgeUs === "number") return { ...old, bornUs: Math.max(old.bornUs, askedUs - sameAgeUs) };
+  return reply["copy"] === undefined ? undefined : readCopy(reply["copy"], want, askedUs);
+};
+
 export const isPermitted = (reply: Message | undefined): boolean => reply !== undefined && flag(reply, "yes");
--- a/src/goods/depots.ts
+++ b/src/goods/depots.ts
@@ -19,32 +19,55 @@
 
 interface Depot {
   readonly link: Link;
+  readonly cell: string;
   heardUs: number;
   doubtfulUntilUs: number;
 }
 
-/** Links to the depots. Each object has a first depot, a second and so on, by rendezvous over those that are known. */
+/** How far a cell is from another: 0 itself, 1 in the same region, 2 elsewhere. */
+export type Distance = (cell: string) => number;
+
+export const distanceFrom = (cell: string, regions: ReadonlyMap<string, string>): Distance => {
+  const region = regions.get(cell);
+  return (other) => (other === cell ? 0 : regions.get(other) === region ? 1 : 2);
+};
+
+/** The owner of an object among these, by rendezvous. */
+export const ownerOf = (key: string, addresses: readonly string[]): string | undefined =>
+  [...addresses].sort((a, b) => crc32(`${key}\n${b}`) - crc32(`${key}\n${a}`))[0];
+
+/**
+ * Links to the depots. Each object has a first depot, a second and so on: the nearer ones first, and among those as near
+ * by rendezvous.
+ */
 export class Depots {
   private readonly depots = new Map<string, Depot>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock, private readonly distance: Distance = () => 0) {}
 
   get anyStands(): boolean {
     return [...this.depots.values()].some(({ link }) => link.stands);
   }
 
   readonly learn = (told: readonly DepotAt[]): void => {
-    const wanted = new Set(told.map(({ address }) => address));
+    const wanted = new Map(told.map(({ address, cell }) => [address, cell]));
     this.depots.forEach((depot, address) => {
       if (wanted.has(address)) return;
       depot.link.stop();
       this.depots.delete(address);
     });
-    wanted.forEach((address) => {
-      if (!this.depots.has(address)) this.open(address);
+    wanted.forEach((cell, address) => {
+      if (!this.depots.has(address)) this.open(address, cell);
     });
   };
 
+  /** Whether one stands that is nearer than the region. */
+  readonly standsInCell = (): boolean => [...this.depots.values()].some(({ link, cell }) => link.stands && this.distance(cell) === 0);
+
+  /** Asks one depot alone, such as an object's owner. */
+  readonly askOne = (address: string, message: Message, waitUs: number): Promise<Message | undefined> =>
+    this.depots.get(address)?.link.ask(message, waitUs) ?? Promise.resolve(undefined);
+
   readonly stop = (): void => this.depots.forEach(({ link }) => link.stop());
 
   /** Asks the object's depot, and the next one in rank where it is doubtful; undefined when none answers in time. */
@@ -72,15 +95,15 @@
   private readonly rank = (key: string): readonly Depot[] => {
     const nowUs = this.clock.nowUs();
     const standing = [...this.depots].filter(([, { link }]) => link.stands);
-    const scored = standing.map(([address, depot]) => ({ depot, score: crc32(`${key}\n${address}`) - (nowUs < depot.doubtfulUntilUs ? 2 ** 33 : 0) }));
+    const scored = standing.map(([address, depot]) => ({ depot, score: crc32(`${key}\n${address}`) - 2 ** 33 * (this.distance(depot.cell) + (nowUs < depot.doubtfulUntilUs ? 3 : 0)) }));
     return scored.sort((a, b) => b.score - a.score).map(({ depot }) => depot);
   };
 
-  private readonly open = (address: string): void => {
+  private readonly open = (address: string, cell: string): void => {
     const { clock } = this;
     const { ip, port } = splitAddress(address);
     const link = new Link({ ip, port, clock, times: TIMES, dialUs: DIAL_US, restUs: REST_US, hello: () => ({ kind: "goods" }) });
-    const depot: Depot = { link, heardUs: 0, doubtfulUntilUs: 0 };
+    const depot: Depot = { link, cell, heardUs: 0, doubtfulUntilUs: 0 };
     link.events.on("message", () => {
       depot.heardUs = clock.nowUs();
     });
--- a/src/goods/goods.ts
+++ b/src/goods/goods.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "../trackbed/clock.js";
 import { isRec, text, whole, type Rec } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
-import { Copies, keyOf, readCopy, type Copy } from "./copies.js";
-import { isPermitted, packWant, SMALL_BYTES } from "./counter.js";
+import { Copies, keyOf, type Copy } from "./copies.js";
+import { copyIn, isPermitted, packWant, SMALL_BYTES } from "./counter.js";
 import type { Depots } from "./depots.js";
 import type { Origin } from "./origin.js";
 import { cutOf, type Cut } from "./range.js";
@@ -17,12 +17,18 @@
   readonly clock: Clock;
   readonly roomBytes: number;
   readonly depots: Depots;
+  /** Who gives large objects out in this cell; nobody where a depot stands in it, or this node itself does. */
+  readonly halls: Depots;
   readonly origin: Origin;
   readonly rate: RateShare;
   readonly isFresh: () => boolean;
   readonly slackUs: number;
 }
 
+/** A route whose objects are mostly larger than this goes by the cell's hall, where there is one. */
+const LARGE_BYTES = 32 * 1024;
+const SIZE_WEIGHT = 0.1;
+
 type Got = { readonly copy: Copy; readonly cut: Cut; readonly size: number };
 
 const MOST_ROUNDS = 3;
@@ -36,10 +42,14 @@
   return { size, cut: text(value, "kind") === "past" ? { kind: "past" } : { kind: "part", from: whole(value, "from"), to: whole(value, "to") } };
 };
 
+const groupOf = (want: Want): string => `${want.service}\n${want.host}\n${want.url.split("/")[1] ?? ""}`;
+
 /** A pointsman's way to objects: a small store of its own, then the depots, and without any of them the origin itself. */
 export class Goods {
   readonly copies: Copies;
   private readonly store: Store;
+  /** The mean size of the objects asked for, by service and the first part of the path. */
+  private readonly sizes = new Map<string, number>();
 
   constructor(private readonly options: GoodsOptions) {
     const { clock, roomBytes, isFresh, slackUs } = options;
@@ -85,7 +95,7 @@
   private readonly source = async (want: Want, old: Copy | undefined): Promise<Found> => {
     const { depots, origin } = this.options;
     if (!depots.anyStands) return origin.fetch(want, old);
-    const got = await this.ask(want, undefined);
+    const got = await this.ask(want, undefined, old);
     return "copy" in got ? { kind: "found", copy: got.copy } : got;
   };
 
@@ -105,16 +115,20 @@
     return FULL;
   };
 
-  private readonly ask = async (want: Want, range: string | undefined): Promise<Got | None> => {
-    const { clock, depots } = this.options;
+  private readonly ask = async (want: Want, range: string | undefined, old?: Copy): Promise<Got | None> => {
+    const { clock, depots, halls } = this.options;
     const askedUs = clock.nowUs();
-    const reply = await depots.ask(keyOf(want), packWant(want, askedUs, range), want.untilUs - askedUs);
+    const message = packWant(want, askedUs, range, old);
+    const viaHall = halls.anyStands && this.isLarge(want);
+    const early = viaHall ? await halls.ask(keyOf(want), message, (want.untilUs - askedUs) / 2) : undefined;
+    const reply = early ?? (await depots.ask(keyOf(want), message, want.untilUs - clock.nowUs()));
     if (!reply) return FULL;
-    if (reply["copy"] === undefined) {
+    const copy = copyIn(reply, want, old, askedUs);
+    if (copy === undefined) {
       return { kind: "none", why: reply["none"] === "rate" ? "rate" : "full", comeBackUs: typeof reply["comeBackUs"] === "number" ? reply["comeBackUs"] : FULL.comeBackUs };
     }
-    const copy = readCopy(reply["copy"], want, askedUs);
     const told = readCut(reply["cut"]);
+    this.learnSize(want, told?.size ?? copy.body.length);
     if (told) return { copy, ...told };
     const cut = copy.status === 200 ? cutOf(range, copy.body.length) : { kind: "whole" as const };
     if (range === undefined) return { copy, cut, size: copy.body.length };
@@ -122,6 +136,13 @@
     return { copy: cut.kind === "part" ? { ...copy, body: copy.body.subarray(cut.from, cut.to + 1) } : copy, cut, size: copy.body.length };
   };
 
+  private readonly isLarge = (want: Want): boolean => (this.sizes.get(groupOf(want)) ?? 0) > LARGE_BYTES;
+
+  private readonly learnSize = (want: Want, size: number): void => {
+    const before = this.sizes.get(groupOf(want));
+    this.sizes.set(groupOf(want), before === undefined ? size : before + (size - before) * SIZE_WEIGHT);
+  };
+
   private readonly served = ({ copy, cut, size }: Got): Served => {
     if (cut.kind === "whole") return { kind: "served", status: copy.status, heads: copy.heads, body: copy.body };
     if (cut.kind === "past") return { kind: "served", status: 416, heads: [...copy.heads, "Content-Range", `bytes */${size}`], body: Buffer.alloc(0) };
--- a/src/programs/depot.ts
+++ b/src/programs/depot.ts
@@ -1,11 +1,12 @@
 import { FaultCounts } from "../inspection/counts.js";
-import { Copies } from "../goods/copies.js";
-import { Counter } from "../goods/counter.js";
+import { Copies, keyOf, type Copy } from "../goods/copies.js";
+import { copyIn, Counter, packWant } from "../goods/counter.js";
+import { Depots, ownerOf } from "../goods/depots.js";
 import { Freshness } from "../goods/freshness.js";
 import { Origin } from "../goods/origin.js";
 import { RateKeeper } from "../goods/rate-keeper.js";
 import { RateShare } from "../goods/rate.js";
-import { Store } from "../goods/store.js";
+import { Store, type Found, type Want } from "../goods/store.js";
 import type { Member } from "./member.js";
 import { joinNews } from "./member.js";
 import { Allowance } from "../traction/allowance.js";
@@ -24,6 +25,8 @@
 const DEFAULT_MEMORY_MB = 512;
 /** The copies take at most this part of the memory. */
 const COPIES_PART = 0.35;
+/** For how long another depot is waited for, before the origin is read instead. */
+const OWNER_WAIT_US = SECOND;
 const MOST_OBJECT_BYTES = 16 * MB;
 const REPORT_US = 2 * SECOND;
 
@@ -58,8 +61,22 @@
     otherNodes: () => ({ here: crew.here - 1, everywhere: crew.depots - 1 }),
   });
   const origin = new Origin({ clock, yard, chooser, rate, allowanceOf, countFault: counts.count, mostBytes: MOST_OBJECT_BYTES });
-  const store = new Store({ clock, copies, isFresh: freshness.isFresh, slackUs: settings.staleSlackUs / 2, source: origin.fetch });
-  const counter = new Counter({ clock, store, rate, log });
+  const here = `${settings.ip}:${settings.relayPort}`;
+  const others = new Depots(clock);
+  let addresses: readonly string[] = [here];
+  const ownStore = new Store({ clock, copies, isFresh: freshness.isFresh, slackUs: settings.staleSlackUs / 2, source: origin.fetch });
+  /** The object's owner among all depots reads the origin; another asks it, and sends the body over only once a version. */
+  const fetch = async (want: Want, old: Copy | undefined): Promise<Found> => {
+    const owner = ownerOf(keyOf(want), addresses);
+    const askedUs = clock.nowUs();
+    const isOwn = owner === undefined || owner === here;
+    const reply = isOwn ? undefined : await others.askOne(owner, packWant(want, askedUs, undefined, old, true), Math.min(OWNER_WAIT_US, want.untilUs - askedUs));
+    if (!reply) return ownStore.get(want);
+    const copy = copyIn(reply, want, old, askedUs);
+    return copy ? { kind: "found", copy } : { kind: "none", why: reply["none"] === "rate" ? "rate" : "full", comeBackUs: want.aimUs / 4 };
+  };
+  const store = new Store({ clock, copies, isFresh: freshness.isFresh, slackUs: settings.staleSlackUs / 2, source: fetch });
+  const counter = new Counter({ clock, store, ownStore, rate, log });
 
   board.events.on("changed", (facts) => {
     table.take(facts);
@@ -69,9 +86,14 @@
     yard.forget(keys);
     keys.forEach((key) => counts.forget(key));
   });
-  const follow = followPurges({ clock, board, taker, freshness, copies, detach: store.detach });
+  const follow = followPurges({ clock, board, taker, freshness, copies, detach: () => {
+    store.detach();
+    ownStore.detach();
+  } });
   taker.events.on("crew", (told) => {
     const depots = told.depots ?? [];
+    addresses = [here, ...depots.map(({ address }) => address).filter((address) => address !== here)];
+    others.learn(depots.filter(({ address }) => address !== here));
     crew = { depots: Math.max(1, depots.length), here: Math.max(1, depots.filter(({ cell }) => cell === settings.cell).length), pointsmen: told.pointsmen };
     allowances.forEach((allowance) => allowance.setCrew(crew.pointsmen + crew.depots));
   });
@@ -84,7 +106,7 @@
     if (message) taker.report(message);
     taker.report({
       kind: "goods",
-      counts: { ...store.counts, copies: copies.size, bytes: copies.bytes, droppedByPurges: copies.dropped, fetches: origin.fetches, checks: origin.checks, refusedForRate: origin.noRate, share: rate.share },
+      counts: { ...store.counts, ownerHits: ownStore.counts.hits, ownerMisses: ownStore.counts.misses, copies: copies.size, bytes: copies.bytes, droppedByPurges: copies.dropped, fetches: origin.fetches, checks: origin.checks, refusedForRate: origin.noRate, share: rate.share },
     });
     yard.trim();
   });
@@ -95,6 +117,7 @@
       report.stop();
       follow.stop();
       keeper.stop();
+      others.stop();
       taker.stop();
       relay.close();
     },
--- a/src/programs/member.ts
+++ b/src/programs/member.ts
@@ -25,6 +25,7 @@
     name: settings.name,
     cell: settings.cell,
     role,
+    ...(settings.deployment === "" ? {} : { linkMbps: settings.linkMbps }),
     relay: `${settings.ip}:${settings.relayPort}`,
     seeds: settings.seedNodes,
     signalPort: settings.signalPort,
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -32,7 +32,7 @@
 /** Puts the data plane together on one machine. */
 export const runPointsman = async (settings: Settings, clock: Clock): Promise<Running> => {
   const log = logFor("pointsman");
-  const { board, taker, relay } = joinNews(settings, clock, "pointsman");
+  const { board, taker, relay } = joinNews(settings, clock, "pointsman", { goods: (...session) => goods?.receiver(...session) ?? Promise.resolve() });
   const table = new RouteTable();
   const yard = new Yard(clock);
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
--- a/src/signalling/feeder.ts
+++ b/src/signalling/feeder.ts
@@ -10,6 +10,8 @@
   readonly cells: Readonly<Record<string, number>>;
   /** The depots with a session; left out where there are none. */
   readonly depots?: readonly DepotAt[];
+  /** The pointsmen that give large objects out to the others of their cell. */
+  readonly halls?: readonly DepotAt[];
 }
 
 const GATHER_US = 4 * MS;
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -16,6 +16,7 @@
 interface Node {
   readonly name: string;
   readonly role: Role;
+  readonly linkMbps: number;
   readonly cell: string;
   readonly relay: string;
 }
@@ -32,7 +33,7 @@
 
 const readNode = (value: unknown): Node => {
   const rec = asRec(value, "node");
-  return { name: text(rec, "name"), cell: text(rec, "cell"), relay: text(rec, "relay"), role: rec["role"] === "depot" ? "depot" : "pointsman" };
+  return { name: text(rec, "name"), cell: text(rec, "cell"), relay: text(rec, "relay"), role: rec["role"] === "depot" ? "depot" : "pointsman", linkMbps: typeof rec["linkMbps"] === "number" ? rec["linkMbps"] : 0 };
 };
 
 export interface SessionsOptions {
@@ -125,7 +126,8 @@
     nodes.forEach((node) => {
       cells[node.cell] = (cells[node.cell] ?? 0) + 1;
     });
-    return { pointsmen: nodes.length, cells, ...(depots.length > 0 ? { depots } : {}) };
+    const halls = depots.length > 0 ? hallsOf(nodes) : [];
+    return { pointsmen: nodes.length, cells, ...(halls.length > 0 ? { halls } : {}), ...(depots.length > 0 ? { depots } : {}) };
   };
 
   private readonly isElsewhere = (node: Node): boolean => {
@@ -154,8 +156,24 @@
   };
 }
 
+/** How much wider than the usual link of its cell one must be for its node to give large objects out to the others. */
+const HALL_TIMES = 4;
+
+/** In each cell the first node whose link is far wider than the usual one there, where there is such a node. */
+const hallsOf = (nodes: readonly Node[]): readonly DepotAt[] => {
+  const byCell = new Map<string, Node[]>();
+  nodes.forEach((node) => byCell.set(node.cell, [...(byCell.get(node.cell) ?? []), node]));
+  return [...byCell].flatMap(([cell, all]) => {
+    const widths = all.map(({ linkMbps }) => linkMbps).sort((a, b) => a - b);
+    const usual = widths[Math.floor(widths.length / 2)] ?? 0;
+    const wide = all.filter(({ linkMbps }) => usual > 0 && linkMbps >= usual * HALL_TIMES).sort((a, b) => (a.name < b.name ? -1 : 1))[0];
+    return wide ? [{ address: wide.relay, cell }] : [];
+  });
+};
+
 export const readCrew = (message: Message): Crew => {
   const cells = asRec(message["cells"], "cells");
-  const depots = list(message, "depots", (value) => ({ address: text(asRec(value), "address"), cell: text(asRec(value), "cell") }));
-  return { ...(depots.length > 0 ? { depots } : {}), pointsmen: whole(message, "pointsmen"), cells: Object.fromEntries(Object.keys(cells).map((cell) => [cell, whole(cells, cell)])) };
+  const places = (field: string) => list(message, field, (value) => ({ address: text(asRec(value), "address"), cell: text(asRec(value), "cell") }));
+  const [depots, halls] = [places("depots"), places("halls")];
+  return { ...(halls.length > 0 ? { halls } : {}), ...(depots.length > 0 ? { depots } : {}), pointsmen: whole(message, "pointsmen"), cells: Object.fromEntries(Object.keys(cells).map((cell) => [cell, whole(cells, cell)])) };
 };
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -13,6 +13,7 @@
   readonly name: string;
   readonly cell: string;
   readonly role: Role;
+  readonly linkMbps?: number;
   readonly relay: string;
   readonly seeds: readonly string[];
   readonly signalPort: number;
@@ -76,7 +77,7 @@
   };
 
   private async *life(): AsyncGenerator<SessionState, void, undefined> {
-    const { name, cell, relay, role, signalPort, clock, times, log } = this.options;
+    const { name, cell, relay, role, linkMbps, signalPort, clock, times, log } = this.options;
     while (!this.stopping) {
       yield "looking";
       const box = this.choose();
@@ -84,7 +85,7 @@
       if (wire) {
         yield "greeting";
         this.wire = wire;
-        wire.send({ kind: "pointsman", node: { name, cell, relay, role } });
+        wire.send({ kind: "pointsman", node: { name, cell, relay, role, ...(linkMbps === undefined ? {} : { linkMbps }) } });
         const incoming = wire.incoming();
         const first = await within(clock, times.silenceUs, incoming.next(), undefined);
         if (first && !first.done) {
--- a/src/trackbed/settings.ts
+++ b/src/trackbed/settings.ts
@@ -2,6 +2,7 @@
 import convict from "convict";
 import { parse } from "smol-toml";
 import { err, ok, type Result } from "true-myth/result";
+import { isRec } from "./shape.js";
 import { parseSpan, SECOND } from "./span.js";
 
 export type SettingsMishap = { readonly kind: "unreadable" | "wrong"; readonly sentence: string };
@@ -13,6 +14,15 @@
   },
   coerce: (value: unknown) => (typeof value === "number" ? value : parseSpan(value).unwrapOr(-1)),
 });
+const readRegions = (value: unknown): Readonly<Record<string, string>> =>
+  isRec(value) ? Object.fromEntries(Object.entries(value).map(([cell, region]) => [cell, String(region)])) : {};
+
+convict.addFormat({
+  name: "regions",
+  validate: (value: unknown) => {
+    if (!isRec(value) || !Object.values(value).every((region) => typeof region === "string")) throw new Error("must name the region of each cell");
+  },
+});
 convict.addFormat({
   name: "filled",
   validate: (value: unknown) => {
@@ -56,8 +66,10 @@
       heartbeat: { format: "span", default: -1 },
       dataFolder: { format: String, default: "" },
       deployment: { format: String, default: "" },
+      region: { format: String, default: "" },
       logLevel: { format: ["debug", "info", "warn", "error", "silent"], default: "info" },
     },
+    cells: { format: "regions", default: {} },
     listen: {
       front: { format: String, default: "" },
       ready: { format: String, default: "" },
@@ -67,6 +79,7 @@
       memoryMb: { format: "nat", default: 0 },
       fileHandles: { format: "nat", default: 0 },
       diskMb: { format: "nat", default: 64 },
+      linkMbps: { format: Number, default: 0 },
     },
     rollout: {
       late: { format: "weight", default: 0.3 },
@@ -115,6 +128,9 @@
   readonly memoryMb: number;
   readonly fileHandles: number;
   readonly diskMb: number;
+  readonly linkMbps: number;
+  /** The region of each cell; empty where nothing is said. */
+  readonly regions: ReadonlyMap<string, string>;
   readonly withstandMachines: number;
   readonly drainUs: number;
   readonly graceUs: number;
@@ -161,6 +177,8 @@
       memoryMb: cfg.get("limits.memoryMb"),
       fileHandles: cfg.get("limits.fileHandles"),
       diskMb: cfg.get("limits.diskMb"),
+      linkMbps: cfg.get("limits.linkMbps"),
+      regions: new Map(Object.entries(readRegions(cfg.get("cells")))),
       withstandMachines: cfg.get("withstand.machines"),
       drainUs: cfg.get("bounds.drain"),
       graceUs: cfg.get("bounds.grace"),
