--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -103,7 +103,7 @@
 const beatAll = async (): Promise<void> => {
   if (!boxes.some(({ name }) => running.has(name)) || clock.nowUs() - lastBeatUs < 1_000_000) return;
   lastBeatUs = clock.nowUs();
-  for (const worker of workers.values()) await during(call(liveBox().control, "POST", `/workers/${worker.id}/heartbeat`, beatOf(worker)));
+  for (const worker of [...workers.values()].filter(({ id }) => cellOfWorker(id) !== darkCell)) await during(call(liveBox().control, "POST", `/workers/${worker.id}/heartbeat`, beatOf(worker)));
 };
 
 /** Time passes while the workers go on beating. */
@@ -152,6 +152,7 @@
   running = new Map();
   workers = new Map();
   lastBeatUs = 0;
+  darkCell = "";
   systems += 1;
   base = 12_000 + systems * 20;
   boxes = [1, 2, 3].map((number) => settingsOf(`box-${number}`, `127.1.0.${number}`, `c${number}`, base + 4));
@@ -267,3 +268,74 @@
   workers.clear();
   await settle();
 });
+
+interface Placed {
+  readonly id: string;
+  readonly status: number;
+}
+let placed: Placed[] = [];
+let darkCell = "";
+let windowId = "";
+let lastSeenInCellUs = 0;
+
+const cellOfWorker = (id: string): string => `c${(Number(id.slice(-1)) % 3) + 1}`;
+const seenInCell = (cell: string): number => [...workers].filter(([id]) => cellOfWorker(id) === cell).reduce((sum, [, worker]) => sum + worker.seen.length, 0);
+
+/** One order at each node that says it is ready, as the platform would bring callers there. */
+const placeAtReady = async (): Promise<void> => {
+  for (const node of nodes.filter(({ name }) => running.has(name))) {
+    if ((await during(call(node.ready, "GET", "/ready"))).status !== 200) continue;
+    const before = seenInCell("c2");
+    const { status } = await order(node);
+    placed.push({ id: `order-${lastOrder}`, status });
+    if (seenInCell("c2") > before) lastSeenInCellUs = clock.nowUs();
+  }
+};
+
+const stageOf = async (): Promise<string> => {
+  const told = asRec(asRec(parseJson((await during(call(liveBox().control, "GET", "/tell/windows"))).body))["windows"]);
+  const row = asList(told["windows"]).map((value) => asRec(value)).find((window) => window["id"] === windowId);
+  return String(row?.["stage"]);
+};
+
+When("a window of {string} that opens in {int} s and lasts {int} s is planned through box {int}", async (cell: string, opens: number, lasts: number, number: number) => {
+  placed = [];
+  darkCell = "";
+  await live(3_000_000);
+  const answer = await during(call(boxes[number - 1]?.control ?? "", "POST", "/windows", JSON.stringify({ cell, opens: `${opens}s`, lasts: `${lasts}s` })));
+  assert.equal(answer.status, 200, answer.body);
+  windowId = String(asRec(parseJson(answer.body))["id"]);
+});
+When("orders go on at every ready pointsman until the window is {string}", { timeout: 60_000 }, async (stage: string) => {
+  for (let at = 0; at < 120 && (await stageOf()) !== stage; at += 1) {
+    await placeAtReady();
+    await live(500_000);
+  }
+  assert.equal(await stageOf(), stage);
+});
+When("the workers and pointsmen of {string} go dark", { timeout: 60_000 }, async (cell: string) => {
+  darkCell = cell;
+  workers.forEach((worker, id) => {
+    if (cellOfWorker(id) === cell) worker.stop();
+  });
+  for (const node of nodes.filter((one) => one.cell === cell)) {
+    await during(running.get(node.name)?.stop() ?? Promise.resolve());
+    running.delete(node.name);
+  }
+});
+When("orders go on at every ready pointsman for {int} s", { timeout: 60_000 }, async (seconds: number) => {
+  for (let at = 0; at < seconds * 2; at += 1) {
+    await placeAtReady();
+    await live(500_000);
+  }
+});
+Then("the pointsmen of {string} are not ready, and its workers have seen no order for {int} s or more", async (cell: string, seconds: number) => {
+  for (const node of nodes.filter((one) => one.cell === cell)) assert.notEqual((await during(call(node.ready, "GET", "/ready"))).status, 200);
+  assert.ok(clock.nowUs() - lastSeenInCellUs >= seconds * 1_000_000);
+});
+Then("every order was answered well, and ran exactly once", () => {
+  assert.ok(placed.length > 60, `${placed.length} orders`);
+  const runs = new Map<string, number>();
+  workers.forEach((worker) => worker.seen.forEach(({ tryId }) => runs.set(tryId, (runs.get(tryId) ?? 0) + 1)));
+  placed.forEach(({ id, status }) => assert.deepEqual([id, status, runs.get(id)], [id, 200, 1]));
+});
--- a/features/system.feature
+++ b/features/system.feature
@@ -43,3 +43,13 @@
   Scenario: A worker that beats at a signalbox is told where its own cell's signalbox is
     When worker "old-2" of another cell beats at box 1
     Then it is told to report to the signalbox of its own cell
+
+  Scenario: A planned window passes over a cell while orders go on, and each order lands exactly once
+    Given the operator's plan with "r-unsafe" on the old service
+    And every pointsman is ready
+    When a window of "c2" that opens in 25 s and lasts 15 s is planned through box 1
+    And orders go on at every ready pointsman until the window is "open"
+    Then the pointsmen of "c2" are not ready, and its workers have seen no order for 2 s or more
+    When the workers and pointsmen of "c2" go dark
+    And orders go on at every ready pointsman for 8 s
+    Then every order was answered well, and ran exactly once
