--- a/src/trackbed/wire.ts
+++ b/src/trackbed/wire.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from "node:net";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Packr } from "msgpackr";
 import type { Clock, Pulse } from "./clock.js";
 import { asRec, type Rec } from "./shape.js";
@@ -29,6 +30,27 @@
   return { ...rec, kind };
 };
 
+/** Set in a frame's length where its body is deflated. Invariant: no body is so long that its length reaches this bit. */
+const DEFLATED = 0x4000_0000;
+/** Plans, news and copies of state shrink to a tenth, which thin links need; bodies of objects don't shrink at all. */
+const SHRINKING: ReadonlySet<string> = new Set(["news", "store", "copy", "beats", "sessions", "settled"]);
+const SHRUNK_FROM_BYTES = 2_048;
+/** What goes to several is packed once. */
+const frames = new WeakMap<Message, Buffer>();
+
+const frameOf = (message: Message): Buffer => {
+  const known = frames.get(message);
+  if (known) return known;
+  const packed = packr.pack(message);
+  const isShrunk = packed.length >= SHRUNK_FROM_BYTES && SHRINKING.has(message.kind);
+  const body = isShrunk ? deflateRawSync(packed, { level: 1 }) : packed;
+  const frame = Buffer.allocUnsafe(body.length + 4);
+  frame.writeUInt32BE(isShrunk ? body.length + DEFLATED : body.length, 0);
+  body.copy(frame, 4);
+  frames.set(message, frame);
+  return frame;
+};
+
 /**
  * One connection between own processes: length-prefixed msgpack frames, pulses, and a silence after which it is
  * given up, since a cut says nothing.
@@ -55,10 +77,7 @@
 
   readonly send = (message: Message): void => {
     if (this.closed) return;
-    const body = packr.pack(message);
-    const frame = Buffer.allocUnsafe(body.length + 4);
-    frame.writeUInt32BE(body.length, 0);
-    body.copy(frame, 4);
+    const frame = frameOf(message);
     this.sentUs = this.clock.nowUs();
     this.gather();
     this.socket.write(frame);
@@ -89,10 +108,12 @@
         held = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
         let at = 0;
         while (held.length - at >= 4) {
-          const size = held.readUInt32BE(at);
+          const told = held.readUInt32BE(at);
+          const size = told & ~DEFLATED;
           if (size > MAX_FRAME_BYTES) return;
           if (held.length - at - 4 < size) break;
-          const message = asMessage(unpackValue(held.subarray(at + 4, at + 4 + size)));
+          const body = held.subarray(at + 4, at + 4 + size);
+          const message = asMessage(unpackValue((told & DEFLATED) === 0 ? body : inflateRawSync(body, { maxOutputLength: MAX_FRAME_BYTES })));
           at += 4 + size;
           if (message.kind !== "pulse") yield message;
         }
