--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -6,9 +6,11 @@
 import { Board, PLAN_PREFIX, WORKER_PREFIX } from "../../src/signalling/board.js";
 import { Allowance } from "../../src/traction/allowance.js";
 import { Front } from "../../src/traction/front.js";
+import { KeyDesk } from "../../src/traction/key-desk.js";
 import { RouteTable } from "../../src/traction/routes.js";
 import { Yard } from "../../src/traction/yard.js";
 import { reportOf, shunt, type ShuntReport } from "../../src/programs/shunter.js";
+import type { Message } from "../../src/trackbed/wire.js";
 import { silentLog } from "../../src/trackbed/log.js";
 import { ManualClock, settle } from "../support/manual-clock.js";
 import { StandIn, type Manner } from "../support/stand-in.js";
@@ -38,9 +40,10 @@
     listeners: [
       {
         host: "a.example",
-        rules: ["safe", "unsafe"].map((kind) => ({
+        rules: ["safe", "unsafe", "keyed", "cached"].map((kind) => ({
           name: kind,
           routeKind: kind,
+          ...(kind === "cached" ? { cacheFor: "40s" } : {}),
           target_time: "800ms",
           rank: 1,
           version: 1,
@@ -68,7 +71,31 @@
 let raw = "";
 let lastTry = 0;
 
+/** A desk of one book: who has which key, and what its run was answered with. */
+let claims = new Map<string, { readonly token: string; answer: unknown }>();
+let freed: string[] = [];
+let wants: string[] = [];
+let isRateSpent = false;
+let isDeskShut = false;
+const askDesk = async (message: Message): Promise<Message | undefined> => {
+  if (isDeskShut) return undefined;
+  const [key, token] = [String(message["key"]), String(message["token"])];
+  const held = claims.get(key);
+  if (message.kind === "key-done") {
+    claims.set(key, { token, answer: message["answer"] });
+    return { kind: "claim", kept: true };
+  }
+  if (held && held.token !== token) return held.answer === undefined ? { kind: "claim", verdict: "working" } : { kind: "claim", verdict: "done", answer: held.answer };
+  claims.set(key, { token, answer: undefined });
+  return { kind: "claim", verdict: "won" };
+};
+
 const build = async (withPlan: boolean): Promise<void> => {
+  claims = new Map();
+  freed = [];
+  wants = [];
+  isRateSpent = false;
+  isDeskShut = false;
   clock = new ManualClock();
   board = new Board(clock);
   yard = new Yard(clock);
@@ -89,6 +116,20 @@
     tally: () => undefined,
     countRollout: (...counted) => rolloutCounts.push(counted[3]),
     random: Math.random,
+    desk: new KeyDesk(clock, askDesk, (message) => {
+      if (message.kind !== "key-free") return;
+      freed.push(String(message["token"]));
+      if (claims.get(String(message["key"]))?.token === message["token"]) claims.delete(String(message["key"]));
+    }),
+    goods: {
+      permit: async () => true,
+      fetch: async (want, range) => {
+        wants.push(`${want.url} ${range ?? ""}`.trim());
+        return isRateSpent
+          ? { kind: "none", why: "rate", comeBackUs: 400_000 }
+          : { kind: "served", status: 200, heads: ["Yewreel-Server-Seal", "s.object", "ETag", '"1"'], body: Buffer.from("an object") };
+      },
+    },
   });
   board.events.on("changed", (facts) => {
     table.take(facts);
@@ -116,11 +157,11 @@
   return worker;
 };
 
-const send = (method: string, path: string, body = ""): Promise<Got> =>
+const send = (method: string, path: string, body = "", more: Readonly<Record<string, string>> = {}): Promise<Got> =>
   new Promise((resolve, reject) => {
     lastTry += 1;
     const request = httpRequest(
-      { host, port, method, path, agent: false, headers: { Host: "a.example", "Yewreel-Try-Id": `try-${lastTry}`, "Yewreel-Time-Left-Ms": "2500", ...(body === "" ? {} : { "Content-Length": body.length }) } },
+      { host, port, method, path, agent: false, headers: { Host: "a.example", "Yewreel-Try-Id": `try-${lastTry}`, "Yewreel-Time-Left-Ms": "2500", ...(body === "" ? {} : { "Content-Length": body.length }), ...more } },
       (response) => {
         const chunks: Buffer[] = [];
         response.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -322,3 +363,33 @@
 Then("the answer is {int} with all {int} bytes", (status: number, size: number) => {
   assert.deepEqual([last().status, last().body.length], [status, size]);
 });
+
+const redeem = (key: string): Promise<Got> => send("POST", "/keyed/x", "a voucher", key === "" ? {} : { "Yewreel-Operation-Key": key });
+
+When("key {string} is redeemed", async (key: string) => {
+  got.push(await during(redeem(key)));
+});
+When("key {string} is redeemed and its caller leaves while the worker is silent", async (key: string) => {
+  const caller = connect(port, host);
+  caller.write(`POST /keyed/x HTTP/1.1\r\nHost: a.example\r\nYewreel-Try-Id: leaver\r\nYewreel-Time-Left-Ms: 2500\r\nYewreel-Operation-Key: ${key}\r\nContent-Length: 1\r\n\r\nx`);
+  for (let step = 0; step < 200 && [...workers.values()].every((worker) => worker.seen.length === 0); step += 1) await clock.pass(5_000);
+  caller.destroy();
+  await clock.pass(50_000);
+});
+When("nobody answers at the desk", () => {
+  isDeskShut = true;
+});
+When("the origin's rate is spent", () => {
+  isRateSpent = true;
+});
+When("a caller gets {string} with the range {string}", async (path: string, range: string) => {
+  got.push(await during(send("GET", path, "", { Range: range })));
+});
+Then("the answer is {int} with the try's own id and {string}", (status: number, body: string) => {
+  assert.deepEqual([last().status, last().body, last().heads["yewreel-try-id"]], [status, body, `try-${lastTry}`]);
+  assert.ok(last().heads["yewreel-server-seal"]);
+});
+Then("all workers together saw {int} request(s)", (count: number) => assert.equal([...workers.values()].reduce((sum, worker) => sum + worker.seen.length, 0), count));
+Then("its token was taken back", () => assert.equal(freed.length > 0 && claims.size === 0, true));
+Then("its token was not taken back", () => assert.deepEqual([freed, claims.size], [[], 1]));
+Then("{string} was asked for with the range {string}", (path: string, range: string) => assert.deepEqual(wants, [`${path} ${range}`]));
