--- a/features/keys.feature
+++ b/features/keys.feature
@@ -90,3 +90,13 @@
     And the boxes have had time to catch up
     And try "two" claims key "k" at box 3
     Then the last verdict is "working"
+
+  Scenario: A wiped copy that dies again before it has caught up still doesn't count
+    When try "one" claims key "k" at box 1
+    And boxes 1 and 2 lose their disks and start again
+    And a purge of label "t1" is acknowledged at box 3
+    And boxes 1 and 2 are killed and start again
+    Then box 1 takes no claims before it has caught up
+    When the boxes have had time to catch up
+    And try "two" claims key "k" at box 1
+    Then the last verdict is "working"
--- a/features/steps/keys.ts
+++ b/features/steps/keys.ts
@@ -159,3 +159,9 @@
   assert.ok(book.purges().some((purge) => purge.label === label));
   assert.ok(learned.some((purge) => purge.label === label));
 });
+When("boxes {int} and {int} are killed and start again", async (one: number, two: number) => {
+  const ids = [`b${one}`, `b${two}`];
+  for (const id of ids) await net().kill(id);
+  await restart(ids);
+});
+Then("box {int} takes no claims before it has caught up", (box: number) => assert.equal(net().copy(`b${box}`).keys.isCounting, false));
--- a/src/interlocking/keybook.ts
+++ b/src/interlocking/keybook.ts
@@ -58,6 +58,8 @@
   private readonly entries = new Map<string, Entry>();
   private readonly held = new Map<string, { readonly purge: Purge; readonly sinceUs: number }>();
   private readonly segments: Segments;
+  /** Invariant: true exactly if this copy holds all that it must; each segment begins with how that was then. */
+  private hasBegun = false;
   private readonly keepUs: number;
 
   constructor(private readonly options: BookOptions) {
@@ -67,6 +69,7 @@
       clock: options.clock,
       keepUs: Math.max(this.keepUs, PURGE_KEEP_US),
       mostBytes: options.diskBytes * ROOM_PART,
+      head: () => ({ kind: this.hasBegun ? "begun" : "unbegun" }),
     });
   }
 
@@ -78,15 +81,18 @@
     return this.segments.heldBytes;
   }
 
-  /** False where no log was found, so that what it once held may be lost. */
+  /** False where no log was found, or one that never held all it must: what it once held may be lost. */
   readonly load = async (): Promise<boolean> => {
     const records = await this.segments.load();
     records?.forEach((record) => this.replay(asRec(record)));
-    return records !== undefined;
+    return this.hasBegun;
   };
 
   /** Leaves a mark on the disk, so that a later start knows that nothing was lost. */
-  readonly begin = async (): Promise<boolean> => (await this.segments.append({ kind: "begun" })).isOk;
+  readonly begin = async (): Promise<boolean> => {
+    this.hasBegun = (await this.segments.append({ kind: "begun" })).isOk;
+    return this.hasBegun;
+  };
 
   readonly stop = (): Promise<void> => this.segments.stop();
 
@@ -185,7 +191,8 @@
       const purge = readPurge(record);
       this.held.set(purge.id, { purge, sinceUs: nowUs });
     }
-    if (record["kind"] === "begun" || record["kind"] === "purge") return;
+    if (record["kind"] === "begun" || record["kind"] === "unbegun") this.hasBegun = record["kind"] === "begun";
+    if (typeof record["key"] !== "string") return;
     const key = text(record, "key");
     const token = text(record, "token");
     if (record["kind"] === "claim" && !this.entries.has(key)) this.entries.set(key, { token, sinceUs: nowUs, answer: undefined });
--- a/src/interlocking/segments.ts
+++ b/src/interlocking/segments.ts
@@ -14,6 +14,8 @@
   /** For how long a record is wanted after it was appended. */
   readonly keepUs: number;
   readonly mostBytes: number;
+  /** What each new segment begins with. */
+  readonly head: () => unknown;
 }
 
 const NAME = /^log-(\d+)\.bin$/;
@@ -139,9 +141,10 @@
   private readonly write = async (bytes: Buffer): Promise<Result<void, SegmentMishap>> => {
     try {
       const file = await this.current();
-      await file.write(bytes);
+      const all = this.bytes === 0 ? Buffer.concat([frameOf(this.options.head()), bytes]) : bytes;
+      await file.write(all);
       await file.datasync();
-      this.bytes += bytes.length;
+      this.bytes += all.length;
       return ok(undefined);
     } catch (mishap) {
       // What the failed write left may be torn, so nothing more is appended behind it.
