--- a/src/traction/yard.ts
+++ b/src/traction/yard.ts
@@ -1,4 +1,5 @@
-import { Client } from "undici";
+import type { Client } from "undici";
+import OneClient from "undici/lib/dispatcher/client.js";
 import { EJECTIONS_KEY, FORECAST_KEY, WORKER_PREFIX, type Fact } from "../signalling/board.js";
 import type { Clock } from "../trackbed/clock.js";
 import { asRec, list, text, whole } from "../trackbed/shape.js";
@@ -140,7 +141,7 @@
     const waiting = isNew ? undefined : this.idle.pop();
     if (waiting) return waiting;
     this.open += 1;
-    const client = new Client(`http://${this.address}`, {
+    const client = new OneClient(`http://${this.address}`, {
       pipelining: 1,
       connect: { timeout: CONNECT_WAIT_US / MS },
       connectTimeout: CONNECT_WAIT_US / MS,
