--- a/src/goods/goods.ts
+++ b/src/goods/goods.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../trackbed/clock.js";
 import { isRec, text, whole, type Rec } from "../trackbed/shape.js";
+import type { ObjectRefusal, ObjectVerdict } from "../traction/objects.js";
 import { MS } from "../trackbed/span.js";
 import { Copies, keyOf, type Copy } from "./copies.js";
 import { copyIn, isPermitted, packWant, SMALL_BYTES } from "./counter.js";
@@ -9,10 +10,6 @@
 import type { RateShare } from "./rate.js";
 import { Store, type Found, type Want } from "./store.js";
 
-export type Served =
-  | { readonly kind: "served"; readonly status: number; readonly heads: readonly string[]; readonly body: Buffer }
-  | { readonly kind: "none"; readonly why: "rate" | "full" | "late"; readonly comeBackUs: number };
-
 export interface GoodsOptions {
   readonly clock: Clock;
   readonly roomBytes: number;
@@ -33,8 +30,7 @@
 
 const MOST_ROUNDS = 3;
 const PERMIT_WAIT_US = 100 * MS;
-type None = Extract<Found, { readonly kind: "none" }>;
-const FULL: None = { kind: "none", why: "full", comeBackUs: 100 * MS };
+const FULL: ObjectRefusal = { kind: "none", why: "full", comeBackUs: 100 * MS };
 
 const readCut = (value: unknown): { readonly cut: Cut; readonly size: number } | undefined => {
   if (!isRec(value)) return undefined;
@@ -70,7 +66,7 @@
     share: this.options.rate.share,
   });
 
-  readonly fetch = async (want: Want, range: string | undefined): Promise<Served> => {
+  readonly fetch = async (want: Want, range: string | undefined): Promise<ObjectVerdict> => {
     const { depots } = this.options;
     if (range !== undefined && this.store.peek(want) === undefined && depots.anyStands) {
       const got = await this.part(want, range);
@@ -100,7 +96,7 @@
   };
 
   /** A part comes straight from a depot; whatever a purge covers meanwhile is asked for anew. */
-  private readonly part = async (want: Want, range: string): Promise<Got | None> => {
+  private readonly part = async (want: Want, range: string): Promise<Got | ObjectRefusal> => {
     const { clock } = this.options;
     let { mostAgeUs } = want;
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
@@ -115,7 +111,7 @@
     return FULL;
   };
 
-  private readonly ask = async (want: Want, range: string | undefined, old?: Copy): Promise<Got | None> => {
+  private readonly ask = async (want: Want, range: string | undefined, old?: Copy): Promise<Got | ObjectRefusal> => {
     const { clock, depots, halls } = this.options;
     const askedUs = clock.nowUs();
     const message = packWant(want, askedUs, range, old);
@@ -143,7 +139,7 @@
     this.sizes.set(groupOf(want), before === undefined ? size : before + (size - before) * SIZE_WEIGHT);
   };
 
-  private readonly served = ({ copy, cut, size }: Got): Served => {
+  private readonly served = ({ copy, cut, size }: Got): ObjectVerdict => {
     if (cut.kind === "whole") return { kind: "served", status: copy.status, heads: copy.heads, body: copy.body };
     if (cut.kind === "past") return { kind: "served", status: 416, heads: [...copy.heads, "Content-Range", `bytes */${size}`], body: Buffer.alloc(0) };
     return { kind: "served", status: 206, heads: [...copy.heads, "Content-Range", `bytes ${cut.from}-${cut.to}/${size}`], body: copy.body };
--- a/src/goods/store.ts
+++ b/src/goods/store.ts
@@ -1,26 +1,13 @@
 import { within, type Clock } from "../trackbed/clock.js";
+import type { ObjectRefusal, ObjectWant } from "../traction/objects.js";
 import { keyOf, type Copies, type Copy } from "./copies.js";
 
-/** An object that is asked for, and how old a copy of it may be. */
-export interface Want {
-  readonly service: string;
-  readonly host: string;
-  readonly url: string;
-  readonly cacheForUs: number;
-  /** Invariant: at most `cacheForUs`. */
-  readonly mostAgeUs: number;
-  readonly aimUs: number;
-  /** Until when an answer is of use, on this process's clock. */
-  readonly untilUs: number;
-}
+export type { ObjectWant as Want };
 
-export type Found =
-  | { readonly kind: "found"; readonly copy: Copy }
-  /** Nobody ran it, and it may be asked for again after a while. */
-  | { readonly kind: "none"; readonly why: "rate" | "full" | "late"; readonly comeBackUs: number };
+export type Found = { readonly kind: "found"; readonly copy: Copy } | ObjectRefusal;
 
 /** Where an object comes from on a miss; `old` is a copy that may still be the newest. */
-export type Source = (want: Want, old: Copy | undefined) => Promise<Found>;
+export type Source = (want: ObjectWant, old: Copy | undefined) => Promise<Found>;
 
 export interface StoreOptions {
   readonly clock: Clock;
@@ -40,7 +27,7 @@
 }
 
 interface Running {
-  readonly want: Want;
+  readonly want: ObjectWant;
   readonly beganUs: number;
   readonly found: Promise<Found>;
 }
@@ -58,13 +45,13 @@
   constructor(private readonly options: StoreOptions) {}
 
   /** A copy that may be given at once. */
-  readonly peek = (want: Want): Copy | undefined => {
+  readonly peek = (want: ObjectWant): Copy | undefined => {
     const { clock, copies, isFresh } = this.options;
     const copy = copies.get(keyOf(want));
     return copy && clock.nowUs() - copy.bornUs <= want.mostAgeUs && isFresh() ? copy : undefined;
   };
 
-  readonly get = async (want: Want): Promise<Found> => {
+  readonly get = async (want: ObjectWant): Promise<Found> => {
     const { clock } = this.options;
     const copy = this.peek(want);
     if (copy) {
@@ -85,7 +72,7 @@
   /** On learning of a purge: what runs already serves who waits for it, and nobody who comes later. */
   readonly detach = (): void => this.running.clear();
 
-  private readonly begin = (key: string, want: Want): Promise<Found> => {
+  private readonly begin = (key: string, want: ObjectWant): Promise<Found> => {
     const running: Running = { want, beganUs: this.options.clock.nowUs(), found: this.fetch(want) };
     this.running.set(key, running);
     const over = () => {
@@ -95,7 +82,7 @@
     return running.found;
   };
 
-  private readonly fetch = async (want: Want): Promise<Found> => {
+  private readonly fetch = async (want: ObjectWant): Promise<Found> => {
     const { copies, source, clock } = this.options;
     let mostAgeUs = want.mostAgeUs;
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
@@ -109,7 +96,7 @@
   };
 
   /** A copy a little beyond its age, where the bound on staleness still has room for it. */
-  private readonly lastResort = (want: Want): Found | undefined => {
+  private readonly lastResort = (want: ObjectWant): Found | undefined => {
     const { clock, copies, isFresh, slackUs } = this.options;
     const copy = copies.get(keyOf(want));
     const usable = copy && isFresh() && want.mostAgeUs === want.cacheForUs && clock.nowUs() - copy.bornUs <= want.cacheForUs + slackUs;
--- a/src/interlocking/archive.ts
+++ b/src/interlocking/archive.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { list, asRec, whole } from "../trackbed/shape.js";
 import { packValue, unpackValue } from "../trackbed/wire.js";
+import { Together } from "./together.js";
 import { packRegister, readRegister, type Register } from "./register.js";
 
 export type ArchiveMishap = { readonly kind: "disk"; readonly sentence: string };
@@ -19,11 +20,12 @@
  */
 export class Archive {
   private lastKept = 0;
-  private waiting: ((kept: Result<void, ArchiveMishap>) => void)[] = [];
-  private running = false;
+  private readonly writes: Together<undefined, Result<void, ArchiveMishap>>;
 
   /** An empty folder name means a machine without a disk: then memory is all there is. */
-  constructor(private readonly folder: string, private readonly snapshot: () => readonly Register[]) {}
+  constructor(private readonly folder: string, private readonly snapshot: () => readonly Register[]) {
+    this.writes = new Together(() => this.write());
+  }
 
   get hasDisk(): boolean {
     return this.folder !== "";
@@ -52,21 +54,7 @@
   /** Resolves once a version that holds everything merged before this call is safe; calls made together share it. */
   readonly keep = (): Promise<Result<void, ArchiveMishap>> => {
     if (!this.hasDisk) return Promise.resolve(ok(undefined));
-    return new Promise((resolve) => {
-      this.waiting.push(resolve);
-      if (!this.running) void this.writeAll();
-    });
-  };
-
-  private readonly writeAll = async (): Promise<void> => {
-    this.running = true;
-    while (this.waiting.length > 0) {
-      const served = this.waiting;
-      this.waiting = [];
-      const kept = await this.write();
-      served.forEach((resolve) => resolve(kept));
-    }
-    this.running = false;
+    return this.writes.add(undefined);
   };
 
   private readonly write = async (): Promise<Result<void, ArchiveMishap>> => {
--- a/src/interlocking/keybook.ts
+++ b/src/interlocking/keybook.ts
@@ -38,7 +38,7 @@
 const ROOM_PART = 0.7;
 export const PURGE_KEEP_US = 60 * SECOND;
 
-const readAnswer = (value: unknown): KeptAnswer | undefined => {
+export const readAnswer = (value: unknown): KeptAnswer | undefined => {
   if (!isRec(value)) return undefined;
   const body = value["body"];
   return { status: whole(value, "status"), heads: list(value, "heads", textOf), body: body instanceof Uint8Array ? body : undefined };
--- a/src/interlocking/keys.ts
+++ b/src/interlocking/keys.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from "node:crypto";
 import type { Log } from "../trackbed/log.js";
-import { flag, isRec, list, text, textOf, whole, type Rec } from "../trackbed/shape.js";
+import { flag, list, text, textOf, type Rec } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
 import type { Message } from "../trackbed/wire.js";
-import { readPurge, type KeptAnswer, type KeyBook, type Purge } from "./keybook.js";
+import { readAnswer, readPurge, type KeptAnswer, type KeyBook, type Purge } from "./keybook.js";
 import { quorumOf, readQuorumOf, type Ledger } from "./ledger.js";
 
 export type KeyVerdict =
@@ -35,12 +35,6 @@
 
 const packAnswer = (answer: KeptAnswer): Rec => ({ status: answer.status, heads: answer.heads, ...(answer.body ? { body: answer.body } : {}) });
 
-export const readKept = (value: unknown): KeptAnswer | undefined => {
-  if (!isRec(value)) return undefined;
-  const body = value["body"];
-  return { status: whole(value, "status"), heads: list(value, "heads", textOf), body: body instanceof Uint8Array ? body : undefined };
-};
-
 /**
  * Operation keys over the roster: who may run an operation, and what its run was answered with.
  * Invariant: a copy that may have lost claims accepts none until it has read so many of the others that every claim
@@ -175,7 +169,7 @@
         book.free(text(message, "key"), text(message, "token"));
         return undefined;
       case "key-done": {
-        const answer = readKept(message["answer"]);
+        const answer = readAnswer(message["answer"]);
         const kept = answer !== undefined && (await book.keep(text(message, "key"), text(message, "token"), answer));
         return { kind: "done", kept: kept && this.counting };
       }
@@ -215,7 +209,7 @@
   private readonly fetch = async (key: string): Promise<KeyVerdict> => {
     const { self, book, ledger, ask } = this.options;
     const replies = await Promise.all(ledger.members().filter((id) => id !== self).map((id) => ask(id, { kind: "key-read", key }, KEEP_WAIT_US)));
-    const found = [book.answerOf(key), ...replies.map((reply) => readKept(reply?.["answer"]))].find((answer) => answer?.body !== undefined);
+    const found = [book.answerOf(key), ...replies.map((reply) => readAnswer(reply?.["answer"]))].find((answer) => answer?.body !== undefined);
     return found ? { kind: "done", answer: found } : { kind: "working" };
   };
 
--- a/src/interlocking/segments.ts
+++ b/src/interlocking/segments.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import type { Clock } from "../trackbed/clock.js";
 import { packValue, unpackValue } from "../trackbed/wire.js";
+import { Together } from "./together.js";
 
 export type SegmentMishap = { readonly kind: "disk" | "full"; readonly sentence: string };
 
@@ -28,11 +29,6 @@
   readonly closedUs: number;
 }
 
-interface Waiting {
-  readonly frame: Buffer;
-  readonly take: (kept: Result<void, SegmentMishap>) => void;
-}
-
 const frameOf = (record: unknown): Buffer => {
   const body = packValue(record);
   const frame = Buffer.allocUnsafe(body.length + HEAD_BYTES);
@@ -66,10 +62,11 @@
   private bytes = 0;
   private openedUs = 0;
   private closed: Closed[] = [];
-  private waiting: Waiting[] = [];
-  private running = false;
+  private readonly writes: Together<Buffer, Result<void, SegmentMishap>>;
 
-  constructor(private readonly options: SegmentOptions) {}
+  constructor(private readonly options: SegmentOptions) {
+    this.writes = new Together((frames) => this.write(Buffer.concat(frames)));
+  }
 
   get heldBytes(): number {
     return this.closed.reduce((sum, { bytes }) => sum + bytes, this.bytes);
@@ -105,12 +102,12 @@
   readonly append = (record: unknown): Promise<Result<void, SegmentMishap>> => {
     if (this.options.folder === "") return Promise.resolve(ok(undefined));
     if (this.heldBytes > this.options.mostBytes) return Promise.resolve(err({ kind: "full", sentence: "the room for the log is taken" }));
-    return this.enqueue(frameOf(record));
+    return this.writes.add(frameOf(record));
   };
 
   /** Resolves once all that was appended before is safe. */
   readonly flush = (): Promise<Result<void, SegmentMishap>> =>
-    this.options.folder === "" || (!this.running && this.waiting.length === 0) ? Promise.resolve(ok(undefined)) : this.enqueue(Buffer.alloc(0));
+    this.options.folder === "" || this.writes.isIdle ? Promise.resolve(ok(undefined)) : this.writes.add(Buffer.alloc(0));
 
   /** Lets what has begun come to its end, and closes the file. */
   readonly stop = async (): Promise<void> => {
@@ -121,23 +118,6 @@
 
   private readonly path = (number: number): string => join(this.options.folder, `log-${number}.bin`);
 
-  private readonly enqueue = (frame: Buffer): Promise<Result<void, SegmentMishap>> =>
-    new Promise((resolve) => {
-      this.waiting.push({ frame, take: resolve });
-      if (!this.running) void this.writeAll();
-    });
-
-  private readonly writeAll = async (): Promise<void> => {
-    this.running = true;
-    while (this.waiting.length > 0) {
-      const served = this.waiting;
-      this.waiting = [];
-      const kept = await this.write(Buffer.concat(served.map(({ frame }) => frame)));
-      served.forEach(({ take }) => take(kept));
-    }
-    this.running = false;
-  };
-
   private readonly write = async (bytes: Buffer): Promise<Result<void, SegmentMishap>> => {
     try {
       const file = await this.current();
--- a/src/programs/signalbox-content.ts
+++ b/src/programs/signalbox-content.ts
@@ -1,8 +1,8 @@
 import { join } from "node:path";
 import { GRANT_LASTS_US, RateOffice } from "../goods/rate.js";
 import type { Duty } from "../interlocking/duty.js";
-import { KeyBook } from "../interlocking/keybook.js";
-import { Keys, readKept } from "../interlocking/keys.js";
+import { KeyBook, readAnswer } from "../interlocking/keybook.js";
+import { Keys } from "../interlocking/keys.js";
 import { STORE_WAIT_US, type Ledger } from "../interlocking/ledger.js";
 import { PURGE_PREFIX, type Board } from "../signalling/board.js";
 import type { Colleagues } from "../signalling/colleagues.js";
@@ -97,7 +97,7 @@
           return { kind: "claim", verdict: verdict.kind, ...(verdict.kind === "done" ? { answer: verdict.answer } : {}) };
         }
         case "key-done": {
-          const answer = readKept(message["answer"]);
+          const answer = readAnswer(message["answer"]);
           return { kind: "claim", kept: answer !== undefined && (await keys.keep(text(message, "key"), text(message, "token"), answer)) };
         }
         case "rate-ask":
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -12,6 +12,7 @@
 import { Gate } from "./gate.js";
 import { EXPECT_WORKER, OPERATION_KEY, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
 import type { KeyAnswer, KeyDesk } from "./key-desk.js";
+import type { ObjectSource } from "./objects.js";
 import type { Route, RouteTable } from "./routes.js";
 import { Room } from "./room.js";
 import { Stage } from "./stage.js";
@@ -45,26 +46,6 @@
   readonly desk?: KeyDesk;
 }
 
-export type ObjectVerdict =
-  | { readonly kind: "served"; readonly status: number; readonly heads: readonly string[]; readonly body: Buffer }
-  | { readonly kind: "none"; readonly why: "rate" | "full" | "late"; readonly comeBackUs: number };
-
-export interface ObjectWant {
-  readonly service: string;
-  readonly host: string;
-  readonly url: string;
-  readonly cacheForUs: number;
-  readonly mostAgeUs: number;
-  readonly aimUs: number;
-  readonly untilUs: number;
-}
-
-export interface ObjectSource {
-  readonly fetch: (want: ObjectWant, range: string | undefined) => Promise<ObjectVerdict>;
-  /** Whether one more request may go to a service with a bound on its rate. */
-  readonly permit: (service: string) => Promise<boolean>;
-}
-
 /** Bodies up to this size are held, so that they can be sent on again; larger ones are passed on as they come. */
 const HELD_BODY_BYTES = 128 * 1024;
 const MOST_READING = 512;
