--- a/src/goods/depots.ts
+++ b/src/goods/depots.ts
@@ -10,7 +10,8 @@
   readonly cell: string;
 }
 
-const TIMES = { pulseUs: 700 * MS, silenceUs: 1_600 * MS };
+/** Slow pulses, since each ask has a patience of its own and every pointsman holds a link to every depot. */
+const TIMES = { pulseUs: 1_500 * MS, silenceUs: 3_500 * MS };
 const DIAL_US = 500 * MS;
 const REST_US = 300 * MS;
 /** A depot says at once when it has to fetch; one that says nothing for so long is doubtful. */
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -56,6 +56,8 @@
 const CLAIM_PART = 5;
 const KEEP_PART = 0.5;
 const MOST_KEY = 200;
+/** Caches fill at the origin's rate: who comes back at once after a refusal for it finds the same. */
+const RATE_REST_US = 1 * SECOND;
 const SPLIT_REST_US = 30 * MS;
 const NOT_PASSED_ON: ReadonlySet<string> = new Set([TIME_LEFT, EXPECT_WORKER, "content-length", "expect"]);
 const NONE: ReadonlySet<string> = new Set();
@@ -250,7 +252,7 @@
     const { range } = trip.req.headers;
     const got = await goods.fetch(want, trip.req.method === "GET" ? range : undefined);
     if (trip.over || trip.line.closing) return;
-    if (got.kind === "none") this.refuse(trip, got.why === "rate" ? "noRate" : "full", got.comeBackUs);
+    if (got.kind === "none") this.refuse(trip, got.why === "rate" ? "noRate" : "full", got.why === "rate" ? Math.max(got.comeBackUs, RATE_REST_US) : got.comeBackUs);
     else this.answerKept(trip, got.status, got.heads, got.body);
   };
 
