--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,7 +18,7 @@
 ];
 
 export default tseslint.config(
-  { ignores: ["target/**", "node_modules/**"] },
+  { ignores: ["target/**", "node_modules/**", "src/**/*.cjs"] },
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
