--- a/features/relay.feature
+++ b/features/relay.feature
@@ -28,3 +28,9 @@
     Then every pointsman holds it within 100 ms
     When the signalbox is gone for 5000 ms
     Then every pointsman holds it within 0 ms
+
+  Scenario: A large plan arrives whole at every node, and what is fresh is told behind it
+    When a plan of 1500 routes is posted at the signalbox
+    And the signalbox tells that all purges so far are known
+    Then every pointsman holds 1500 routes within 300 ms
+    And every pointsman was told so after it held them
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -56,6 +56,7 @@
     const relay = new Switchboard(clock, TIMES, { child: serveChild }, silentLog);
     await relay.listen(ip, port + 1);
     void taker.run();
+    taker.events.on("fresh", feeder.setFresh);
     nodes.push({ taker, board, feeder, relay });
     await pass(200);
   }
@@ -64,6 +65,30 @@
 When("a fact is posted at the signalbox", () => {
   top.post([{ key: "plan/route/r1", version: 9, tie: "", body: { item: "nine", dropped: false } }]);
 });
+const ROUTES = "plan/route/many-";
+const routesAt = (board: Board): number => board.all().filter(({ key }) => key.startsWith(ROUTES)).length;
+/** How many of the routes each node held when it was told that the news is fresh. */
+let heldWhenFresh: number[] = [];
+
+When("a plan of {int} routes is posted at the signalbox", (count: number) => {
+  heldWhenFresh = [];
+  nodes.forEach(({ taker, board }) =>
+    taker.events.on("fresh", () => {
+      heldWhenFresh = [...heldWhenFresh, routesAt(board)];
+    }),
+  );
+  top.post(Array.from({ length: count }, (_, at) => ({ key: `${ROUTES}${at}`, version: 1, tie: "", body: { item: `{"name":"r-${at}","pathStart":"/a${at}/"}`, dropped: false } })));
+});
+When("the signalbox tells that all purges so far are known", () => topFeeder.setFresh(0));
+Then("every pointsman holds {int} routes within {int} ms", async (count: number, waitMs: number) => {
+  await pass(waitMs);
+  nodes.forEach(({ board }, at) => assert.equal(routesAt(board), count, `node ${at + 1}`));
+});
+Then("every pointsman was told so after it held them", () => {
+  assert.equal(heldWhenFresh.length, nodes.length);
+  heldWhenFresh.forEach((held) => assert.equal(held, 1_500));
+});
+
 When("the fact is posted again with a lower version", async () => {
   await pass(100);
   nodes.forEach(({ board }) => board.post([{ key: "plan/route/r1", version: 8, tie: "", body: { item: "eight", dropped: false } }]));
