--- a/src/goods/depots.ts
+++ b/src/goods/depots.ts
@@ -62,9 +62,6 @@
     });
   };
 
-  /** Whether one stands that is nearer than the region. */
-  readonly standsInCell = (): boolean => [...this.depots.values()].some(({ link, cell }) => link.stands && this.distance(cell) === 0);
-
   /** Asks one depot alone, such as an object's owner. */
   readonly askOne = (address: string, message: Message, waitUs: number): Promise<Message | undefined> =>
     this.depots.get(address)?.link.ask(message, waitUs) ?? Promise.resolve(undefined);
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -274,6 +274,13 @@
     return (await colleagues.ask(duty.holder(), { kind: "tell", what }, STORE_WAIT_US))?.["told"] ?? tellers[what]?.();
   };
 
+  /** Who takes what nodes report, at the duty's holder; the others pass it on. */
+  const reportTakers = new Map<string, { readonly take: (report: Message) => void }>([
+    ["faults", inspector],
+    ["rollout", rollouts],
+    ["usage", forecaster],
+  ]);
+
   /** What a colleague's connection brings; what it asks is answered on the same connection. */
   const answerColleague = async (message: Message): Promise<Message | undefined> => {
     switch (message.kind) {
@@ -293,8 +300,10 @@
         const verdict = await windowHere(readWindowCall(message));
         return { kind: "done", outcome: verdict.outcome, body: verdict.body ?? {} };
       }
+      case "faults":
+      case "rollout":
       case "usage":
-        forecaster.take(message);
+        reportTakers.get(message.kind)?.take(message);
         return undefined;
       case "tell":
         return { kind: "done", told: tellers[text(message, "what")]?.() };
@@ -304,12 +313,6 @@
       case "settled":
         ledger.hearSettled(message);
         return undefined;
-      case "faults":
-        inspector.take(message);
-        return undefined;
-      case "rollout":
-        rollouts.take(message);
-        return undefined;
       default:
         return content?.answerColleague(message);
     }
@@ -347,11 +350,6 @@
     const roster = settled.find((register) => register.key === ROSTER_KEY);
     if (roster) colleagues.learn(membersOf(roster));
   });
-  const reportTakers = new Map<string, { readonly take: (report: Message) => void }>([
-    ["faults", inspector],
-    ["rollout", rollouts],
-    ["usage", forecaster],
-  ]);
   sessions.events.on("own", () => {
     colleagues.send(sessions.pack());
     tellCrew();
