A node sends to a small, stable subset of workers and takes the quickest of it

Cause: with all of 146 workers to choose from, a node of 200 looks at each worker every half minute, so what an answer told of its usage is long old; calls wait behind others at some workers while others idle, and full ones reset.

Change: subsetOf, a pure function of node, cell, ready workers and the rounded count of nodes; the quickest of at most 9 is taken; far workers are assumed as busy as near ones; a call that waits counts before its answer; what calls have shown of a worker fades in 8 s (it kept 47% of its calls 20 s after being well again, before that).

--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -58,7 +58,7 @@
 
 let clock = new ManualClock();
 let board = new Board(clock);
-let yard = new Yard(clock);
+let yard = new Yard(clock, "n1", "c1");
 let front: Front;
 let port = 0;
 /** Every front gets an address of its own, so that no two scenarios share a port. */
@@ -98,7 +98,7 @@
   isDeskShut = false;
   clock = new ManualClock();
   board = new Board(clock);
-  yard = new Yard(clock);
+  yard = new Yard(clock, "n1", "c1");
   const table = new RouteTable();
   const generous = new Allowance(clock, { ratio: 100, windowUs: 10_000_000, slack: 100 });
   const none = new Allowance(clock, { ratio: 0, windowUs: 10_000_000, slack: 0 });
@@ -111,7 +111,6 @@
     yard,
     allowanceOf: () => (isAllowanceEmpty ? none : generous),
     connectionShare: () => 10,
-    otherNodes: () => ({ here: 0, everywhere: 0 }),
     countFault: () => undefined,
     tally: () => undefined,
     countRollout: (...counted) => rolloutCounts.push(counted[3]),
--- a/src/programs/depot.ts
+++ b/src/programs/depot.ts
@@ -36,7 +36,7 @@
   const serve = (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => counter.serve(wire, hello, incoming);
   const { board, taker, relay }: Member = joinNews(settings, clock, "depot", { goods: serve });
   const table = new RouteTable();
-  const yard = new Yard(clock);
+  const yard = new Yard(clock, settings.name, settings.cell);
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
   const counts = new FaultCounts(life);
   const allowances = new Map<string, Allowance>();
@@ -58,7 +58,6 @@
     cell: settings.cell,
     random: Math.random,
     connectionShare: (service) => Math.max(1, Math.floor((table.service(service)?.maxConnections ?? 16) / (2 * crew.depots))),
-    otherNodes: () => ({ here: crew.here - 1, everywhere: crew.depots - 1 }),
   });
   const origin = new Origin({ clock, yard, chooser, rate, allowanceOf, countFault: counts.count, mostBytes: MOST_OBJECT_BYTES });
   const here = `${settings.ip}:${settings.relayPort}`;
@@ -95,6 +94,7 @@
     addresses = [here, ...depots.map(({ address }) => address).filter((address) => address !== here)];
     others.learn(depots.filter(({ address }) => address !== here));
     crew = { depots: Math.max(1, depots.length), here: Math.max(1, depots.filter(({ cell }) => cell === settings.cell).length), pointsmen: told.pointsmen };
+    yard.setNodes({ here: crew.here, everywhere: crew.depots });
     allowances.forEach((allowance) => allowance.setCrew(crew.pointsmen + crew.depots));
   });
   const keeper = new RateKeeper({ clock, rate, life, who: "depot", ask: taker.ask, wants: () => true });
--- a/src/programs/pointsman-goods.ts
+++ b/src/programs/pointsman-goods.ts
@@ -10,7 +10,7 @@
 import type { Board } from "../signalling/board.js";
 import type { Taker } from "../signalling/taker.js";
 import type { Allowance } from "../traction/allowance.js";
-import { Chooser, type ChooserOptions } from "../traction/choose.js";
+import { Chooser } from "../traction/choose.js";
 import { KeyDesk } from "../traction/key-desk.js";
 import type { RouteTable } from "../traction/routes.js";
 import type { Yard } from "../traction/yard.js";
@@ -31,7 +31,6 @@
   readonly allowanceOf: (service: string) => Allowance;
   readonly connectionShare: (service: string) => number;
   readonly countFault: (worker: string, isFault: boolean) => void;
-  readonly otherNodes: ChooserOptions["otherNodes"];
 }
 
 export interface PointsmanGoods {
@@ -52,13 +51,13 @@
 
 /** What a pointsman of a content deployment has besides. */
 export const openPointsmanGoods = (options: PointsmanGoodsOptions): PointsmanGoods => {
-  const { settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault, otherNodes } = options;
+  const { settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault } = options;
   const distance = distanceFrom(settings.cell, settings.regions);
   const depots = new Depots(clock, distance);
   const halls = new Depots(clock);
   const rate = new RateShare(clock, (service) => table.service(service)?.ratePerS ?? 0);
   const freshness = new Freshness({ clock, purgeUs: settings.purgeUs, stretchUs: settings.stretchUs, isFed: () => taker.isFed });
-  const chooser = new Chooser({ yard, cell: settings.cell, random: Math.random, connectionShare, otherNodes });
+  const chooser = new Chooser({ yard, cell: settings.cell, random: Math.random, connectionShare });
   const origin = new Origin({ clock, yard, chooser, rate, allowanceOf, countFault, mostBytes: MOST_OBJECT_BYTES });
   const goods = new Goods({
     clock,
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -34,7 +34,7 @@
   const log = logFor("pointsman");
   const { board, taker, relay } = joinNews(settings, clock, "pointsman", { goods: (...session) => goods?.receiver(...session) ?? Promise.resolve() });
   const table = new RouteTable();
-  const yard = new Yard(clock);
+  const yard = new Yard(clock, settings.name, settings.cell);
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
   const counts = new FaultCounts(life);
   const rollouts = new RolloutCounts(life);
@@ -42,8 +42,6 @@
   const allowances = new Map<string, Allowance>();
   const tallies = new Map<string, number>();
   let crew: Crew = { pointsmen: 1, cells: {} };
-  /** Invariant: always that of `crew`, less this node. */
-  let otherNodes = { here: 0, everywhere: 0 };
   let leaving = false;
 
   const allowanceOf = (service: string): Allowance => {
@@ -57,7 +55,7 @@
   const connectionShare = (service: string): number =>
     Math.max(1, Math.floor((table.service(service)?.maxConnections ?? 16) / Math.max(1, crew.pointsmen)));
 
-  const goods = settings.deployment === CONTENT ? await openGoods({ settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault: counts.count, otherNodes: () => otherNodes }) : undefined;
+  const goods = settings.deployment === CONTENT ? await openGoods({ settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault: counts.count }) : undefined;
   const front = new Front({
     clock,
     log: logFor("front"),
@@ -67,7 +65,6 @@
     yard,
     allowanceOf,
     connectionShare,
-    otherNodes: () => otherNodes,
     countFault: counts.count,
     tally: (route, kind, outcome) => {
       const key = `${route}|${kind}|${settings.cell}|${outcome}`;
@@ -94,7 +91,7 @@
   });
   taker.events.on("crew", (told) => {
     crew = told;
-    otherNodes = { here: Math.max(0, (told.cells[settings.cell] ?? 1) - 1), everywhere: Math.max(0, told.pointsmen - 1) };
+    yard.setNodes({ here: Math.max(1, told.cells[settings.cell] ?? 1), everywhere: Math.max(1, told.pointsmen) });
     allowances.forEach((allowance) => allowance.setCrew(told.pointsmen));
   });
 
--- a/src/traction/choose.ts
+++ b/src/traction/choose.ts
@@ -6,10 +6,8 @@
   readonly random: () => number;
   /** How many connections this node may hold to one worker of the service. */
   readonly connectionShare: (service: string) => number;
-  /** How many other nodes choose among the workers of this cell, and among all. */
   /** Whether what the forecast says is acted on. */
   readonly acts?: boolean;
-  readonly otherNodes: () => { readonly here: number; readonly everywhere: number };
 }
 
 /** Beyond this many calls for each slot a worker is left alone, since a full one resets connections. */
@@ -18,39 +16,70 @@
 const PRESSED_AT = 1.5;
 /** A call to another cell must be quicker by this part of the aim: it costs time and bytes between cells. */
 const FAR_PART = 5;
+/** Of so many workers that fit the quickest is taken. */
+const LOOKS = 9;
+/** How much each look at a near worker weighs in what is assumed of far ones. */
+const LOOK_WEIGHT = 0.05;
 
-/** Own cell first, two choices by usage; another cell where that is plainly quicker or the own one has no room. */
+type Fits = (worker: Worker, usage: number) => boolean;
+
+/**
+ * Among the workers of this node's subset the one that would answer soonest, by guess; another cell's where that is
+ * plainly quicker or the own one has no room. Invariant: the work for a request is bounded by the subset.
+ */
 export class Chooser {
+  /** The usage of this node's near workers of late, by service. */
+  private readonly nearUsage = new Map<string, number>();
+
   constructor(private readonly options: ChooserOptions) {}
 
   readonly choose = (service: string, tried: ReadonlySet<string>, aimUs: number, isSafe = true): Worker | undefined => {
-    const { yard, cell, connectionShare, random } = this.options;
+    const { yard, connectionShare, random } = this.options;
     const share = connectionShare(service);
     const avoided = yard.avoidedCell(isSafe, random);
     const fullAt = isSafe && this.options.acts === true && yard.pressure(service) !== "" ? PRESSED_AT : FULL_AT;
-    const usable = yard
-      .of(service)
-      .filter((worker) => worker.state === "ready" && !tried.has(worker.id) && worker.hasRoom(share) && worker.usage(this.othersOf(worker)) < worker.capacity * fullAt);
-    const wanted = usable.filter((worker) => !worker.isShunned() && !yard.isEjected(worker));
-    const near = this.better(wanted.filter((worker) => worker.cell === cell && worker.cell !== avoided));
-    const far = this.better(wanted.filter((worker) => worker.cell !== cell && worker.cell !== avoided));
-    if (near && far) return this.costUs(near) <= this.costUs(far) + aimUs / FAR_PART ? near : far;
-    return near ?? far ?? this.better(wanted) ?? this.better(usable.filter((worker) => !worker.isShunned()));
+    const { near, far, spare } = yard.subset(service);
+    const isUsable: Fits = (worker, usage) => !tried.has(worker.id) && worker.hasRoom(share) && !worker.isShunned() && usage < worker.capacity * fullAt;
+    const isWanted: Fits = (worker, usage) => isUsable(worker, usage) && !yard.isEjected(worker);
+    const isWantedThere: Fits = (worker, usage) => worker.cell !== avoided && isWanted(worker, usage);
+    const here = this.quickest(near, isWantedThere);
+    const there = this.quickest(far, isWantedThere);
+    if (here && there) return this.guessUs(here) <= this.guessUs(there) + aimUs / FAR_PART ? here : there;
+    const all = () => [...near, ...far, ...spare];
+    return here ?? there ?? this.quickest(spare, isWantedThere) ?? this.quickest(all(), isWanted) ?? this.quickest(all(), isUsable);
   };
 
-  private readonly othersOf = (worker: Worker): number => {
-    const { here, everywhere } = this.options.otherNodes();
-    return worker.cell === this.options.cell ? here : everywhere;
+  /**
+   * Others are assumed to use a near worker as much as this node does. Of a far one, which its own cell's nodes use most,
+   * it is assumed that it is as busy as a near one, but not that it has calls waiting: a full cell must look elsewhere.
+   */
+  private readonly usageOf = (worker: Worker): number => {
+    const { yard, cell } = this.options;
+    const usual = this.nearUsage.get(worker.service) ?? 0;
+    if (worker.cell !== cell) return worker.usage(Math.min(usual, worker.capacity));
+    const usage = worker.usage(worker.ownAverage() * (yard.subset(worker.service).holders - 1));
+    this.nearUsage.set(worker.service, usual + (usage - usual) * LOOK_WEIGHT);
+    return usage;
   };
 
-  private readonly costUs = (worker: Worker): number => worker.guessUs(this.othersOf(worker));
+  private readonly guessUs = (worker: Worker): number => worker.guessUs(this.usageOf(worker));
 
-  /** The better of two drawn at random. */
-  private readonly better = (workers: readonly Worker[]): Worker | undefined => {
-    const first = workers[Math.floor(this.options.random() * workers.length)];
-    if (!first || workers.length < 2) return first;
-    const others = workers.filter((worker) => worker !== first);
-    const second = others[Math.floor(this.options.random() * others.length)];
-    return second && this.costUs(second) < this.costUs(first) ? second : first;
+  /** The quickest of some that fit, looked for from a random place on, so that equals take turns. */
+  private readonly quickest = (workers: readonly Worker[], fits: Fits): Worker | undefined => {
+    let best: Worker | undefined;
+    let bestUs = 0;
+    const from = Math.floor(this.options.random() * workers.length);
+    for (let at = 0, looks = 0; at < workers.length && looks < LOOKS; at += 1) {
+      const worker = workers[(from + at) % workers.length];
+      if (!worker) continue;
+      const usage = this.usageOf(worker);
+      if (!fits(worker, usage)) continue;
+      looks += 1;
+      const tookUs = worker.guessUs(usage);
+      if (best && tookUs >= bestUs) continue;
+      best = worker;
+      bestUs = tookUs;
+    }
+    return best;
   };
 }
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -8,7 +8,7 @@
 import { MS, SECOND } from "../trackbed/span.js";
 import { WorkerCall, type Answer, type CallVerdict, type Calling } from "./call.js";
 import type { RolloutOutcome } from "../inspection/rollout-counts.js";
-import { Chooser, type ChooserOptions } from "./choose.js";
+import { Chooser } from "./choose.js";
 import { Gate } from "./gate.js";
 import { EXPECT_WORKER, OPERATION_KEY, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
 import type { KeyAnswer, KeyDesk } from "./key-desk.js";
@@ -30,7 +30,6 @@
   readonly yard: Yard;
   readonly allowanceOf: (service: string) => Allowance;
   readonly connectionShare: (service: string) => number;
-  readonly otherNodes: ChooserOptions["otherNodes"];
   readonly countFault: (worker: string, isFault: boolean) => void;
   readonly tally: (route: string, kind: string, outcome: string) => void;
   /** Counts an outcome of a route that sends to more than one service. */
@@ -77,9 +76,9 @@
   private emptied = false;
 
   constructor(private readonly options: FrontOptions) {
-    const { yard, cell, random, connectionShare, otherNodes, clock, acts } = options;
+    const { yard, cell, random, connectionShare, clock, acts } = options;
     this.room = new Room(options.roomBytes);
-    this.chooser = new Chooser({ yard, cell, random, connectionShare, otherNodes, ...(acts === true ? { acts } : {}) });
+    this.chooser = new Chooser({ yard, cell, random, connectionShare, ...(acts === true ? { acts } : {}) });
     this.gate = new Gate(clock, (trip) => this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0, trip.route?.isSafe ?? true));
     this.reading = new Stage(MOST_READING, MOST_READING, this.read);
     this.carrying = new Stage(MOST_CARRIED, MOST_CARRIED, this.carry, (trip) => trip.route?.rank ?? 0);
@@ -364,7 +363,7 @@
   /** At a pressed service one that can't be repeated is refused before it is offered, rather than broken off in work. */
   private readonly wouldBeLate = (trip: Trip, route: Route, worker: Worker): boolean => {
     const { acts, yard, clock } = this.options;
-    return acts === true && !route.isSafe && yard.pressure(trip.service) === "overrun" && worker.guessUs(0) > trip.budgetUs - clock.nowUs();
+    return acts === true && !route.isSafe && yard.pressure(trip.service) === "overrun" && worker.guessUs(worker.usage(0)) > trip.budgetUs - clock.nowUs();
   };
 
   private readonly start = (trip: Trip, worker: Worker): Calling => {
--- a/src/traction/yard.ts
+++ b/src/traction/yard.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../trackbed/clock.js";
 import { asRec, list, text, whole } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
+import { subsetOf, type NodeCount, type Subset } from "./subset.js";
 
 /** One connection to a worker, for one request at a time. */
 export interface Coupling {
@@ -17,7 +18,9 @@
 const FIRST_GUESS_US = 50 * MS;
 /** How many calls the mean of the service stands in for, before a worker's own calls speak for themselves. */
 const PRIOR_CALLS = 3;
-const MOST_CALLS = 40;
+const MOST_CALLS = 20;
+/** What a worker's own calls have shown fades, so that one that was slow is tried again, at first seldom. */
+const FORGET_US = 8 * SECOND;
 const TOLD_FADES_US = 600 * MS;
 const OWN_AVERAGE_US = 1 * SECOND;
 
@@ -49,6 +52,7 @@
   /** Invariant: the mean time of the calls counted, of which at most MOST_CALLS weigh, and the prior is one part. */
   private typicalUs = 0;
   private learned = 0;
+  private learnedUs = 0;
   private averageOwn = 0;
   private averagedUs = 0;
   private shunnedUntilUs = 0;
@@ -71,13 +75,16 @@
 
   /**
    * The usage of the worker: this node's own calls, and those of others, which are as many as it last told, and as that
-   * fades, as many as if each of the other nodes that would choose it used it as much as this one has of late.
+   * fades, as many as are assumed.
    */
-  readonly usage = (others: number): number => {
+  readonly usage = (assumedOthers: number): number => {
     const fading = Math.min(1, (this.clock.nowUs() - this.toldUs) / TOLD_FADES_US);
-    return this.own + this.toldOthers * (1 - fading) + this.average() * others * fading;
+    return this.own + this.toldOthers * (1 - fading) + assumedOthers * fading;
   };
 
+  /** How many calls this node had under way here of late, on average. */
+  readonly ownAverage = (): number => this.average();
+
   private readonly average = (): number => {
     const nowUs = this.clock.nowUs();
     const kept = Math.exp((this.averagedUs - nowUs) / OWN_AVERAGE_US);
@@ -93,18 +100,30 @@
   };
 
   readonly learn = (tookUs: number): void => {
-    this.learned = Math.min(MOST_CALLS, this.learned + 1);
+    this.learned = Math.min(MOST_CALLS, this.remembered() + 1);
+    this.learnedUs = this.clock.nowUs();
     this.typicalUs += (tookUs - this.typicalUs) / this.learned;
     this.mean.learn(tookUs);
   };
 
-  /** How long a call sent now would take, by guess. */
-  readonly guessUs = (others: number): number => {
+  /** How long a call sent now would take, by guess, at this usage. */
+  readonly guessUs = (usage: number): number => {
     const coldness = this.clock.nowUs() < this.warmUntilUs ? 2 : 1;
-    return this.usuallyUs() * coldness * Math.max(1, (this.usage(others) + 1) / this.capacity);
+    return Math.max(this.meanUs(), this.longestWaitUs()) * coldness * Math.max(1, (usage + 1) / this.capacity);
+  };
+
+  private readonly remembered = (): number => this.learned * Math.exp((this.learnedUs - this.clock.nowUs()) / FORGET_US);
+
+  private readonly meanUs = (): number => {
+    const calls = this.remembered();
+    return (this.typicalUs * calls + this.mean.usuallyUs * PRIOR_CALLS) / (calls + PRIOR_CALLS);
   };
 
-  private readonly usuallyUs = (): number => (this.typicalUs * this.learned + this.mean.usuallyUs * PRIOR_CALLS) / (this.learned + PRIOR_CALLS);
+  /** A call that waits longer than others took tells that the worker is slow before its answer does. */
+  private readonly longestWaitUs = (): number => {
+    const [oldest] = this.waitingSince;
+    return oldest === undefined ? 0 : this.clock.nowUs() - oldest.sinceUs;
+  };
 
   /** After a mishap that shows the worker itself to be unwell, this node leaves it alone for a moment. */
   readonly shun = (): void => {
@@ -117,7 +136,7 @@
   /** Calls have waited far beyond what is usual, and nothing at all has been heard since. */
   readonly isSilent = (): boolean => {
     const nowUs = this.clock.nowUs();
-    const patienceUs = Math.max(500 * MS, 6 * this.usuallyUs());
+    const patienceUs = Math.max(500 * MS, 6 * this.meanUs());
     for (const call of this.waitingSince) return this.heardUs < call.sinceUs && nowUs - call.sinceUs > patienceUs;
     return false;
   };
@@ -187,6 +206,9 @@
 export class Yard {
   private readonly workers = new Map<string, Worker>();
   private readonly byService = new Map<string, Worker[]>();
+  /** Invariant: holds a service only while neither its workers nor the count of nodes has changed since. */
+  private readonly subsets = new Map<string, Subset<Worker>>();
+  private nodes: NodeCount = { here: 1, everywhere: 1 };
   private readonly means = new Map<string, ServiceMean>();
   private ejected: ReadonlySet<string> = new Set();
   /** Invariant: the parts of safe and of unsafe requests that go elsewhere are 0 where no cell is shifted away from. */
@@ -194,7 +216,7 @@
   /** What the forecast says of services that near or pass what they can keep up with. */
   private pressed: ReadonlyMap<string, string> = new Map();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock, private readonly node: string, private readonly cell: string) {}
 
   get size(): number {
     return this.workers.size;
@@ -202,6 +224,21 @@
 
   readonly of = (service: string): readonly Worker[] => this.byService.get(service) ?? [];
 
+  /** The ready workers of a service that this node sends to. */
+  readonly subset = (service: string): Subset<Worker> => {
+    const known = this.subsets.get(service);
+    if (known) return known;
+    const made = subsetOf(this.node, this.cell, this.of(service).filter(({ state }) => state === "ready"), this.nodes);
+    this.subsets.set(service, made);
+    return made;
+  };
+
+  /** How many nodes there are, this one included. */
+  readonly setNodes = (nodes: NodeCount): void => {
+    this.nodes = nodes;
+    this.subsets.clear();
+  };
+
   readonly all = (): readonly Worker[] => [...this.workers.values()];
 
   readonly isEjected = (worker: Worker): boolean => this.ejected.has(worker.id);
@@ -240,10 +277,13 @@
     if (fact.body["state"] === "gone") return this.remove(id);
     const known = this.workers.get(id);
     const worker = known ?? new Worker(id, this.clock, this.meanOf(text(fact.body, "service")));
+    if (known) this.unlist(known);
     worker.takeFact(fact);
-    if (known) return;
     this.workers.set(id, worker);
-    this.byService.set(worker.service, [...this.of(worker.service), worker]);
+    const listed = this.byService.get(worker.service);
+    if (listed) listed.push(worker);
+    else this.byService.set(worker.service, [worker]);
+    this.subsets.delete(worker.service);
   };
 
   private readonly meanOf = (service: string): ServiceMean => {
@@ -269,6 +309,11 @@
     worker.state = "gone";
     worker.closeIdle();
     this.workers.delete(id);
+    this.unlist(worker);
+  };
+
+  private readonly unlist = (worker: Worker): void => {
     this.byService.set(worker.service, this.of(worker.service).filter((other) => other !== worker));
+    this.subsets.delete(worker.service);
   };
 }
