--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -339,3 +339,85 @@
   workers.forEach((worker) => worker.seen.forEach(({ tryId }) => runs.set(tryId, (runs.get(tryId) ?? 0) + 1)));
   placed.forEach(({ id, status }) => assert.deepEqual([id, status, runs.get(id)], [id, 200, 1]));
 });
+
+// --- the written retry limit, and the forecast of what would move ------------------------------------------------------
+
+const post = async (box: Settings | undefined, path: string, body: Rec): Promise<{ readonly status: number; readonly body: Rec }> => {
+  const answer = await during(call(box?.control ?? "", "POST", path, JSON.stringify(body)));
+  return { status: answer.status, body: asRec(parseJson(answer.body)) };
+};
+let setStatuses: number[] = [];
+When("the retry limit of {string} is set to {float} and {int} through each signalbox in turn", async (kind: string, ratio: number, slack: number) => {
+  setStatuses = [];
+  for (const box of boxes) setStatuses.push((await post(box, "/retries", { service: "*", kind, ratio, slack })).status);
+});
+Then("it is taken each time", () => assert.deepEqual(setStatuses, [200, 200, 200]));
+Then("a limit above the deployment's is refused with one sentence", async () => {
+  const answer = await post(boxes[1], "/retries", { service: "*", kind: "unsafe", ratio: 0.9, slack: 4 });
+  assert.equal(answer.status, 400);
+  assert.match(String(answer.body["problem"]), /above the deployment's 0.2/);
+  assert.equal((await post(boxes[1], "/retries", { service: "nobody", kind: "unsafe", ratio: 0.1, slack: 4 })).status, 400);
+});
+When("the old service's workers are full and orders are placed", async () => {
+  await apply(liveBox(), planOf(1, { service: "s-old" }).replace('"version":1,"matchOn"', '"version":3,"matchOn"').replace('"tries":1', '"tries":3'));
+  await live(1_000_000);
+  workers.forEach((worker, id) => {
+    worker.seen.splice(0);
+    if (id.startsWith("old")) worker.manner = "full";
+  });
+  for (let round = 0; round < 8; round += 1) for (const node of nodes) assert.equal((await order(node)).status, 503);
+});
+Then("the retries shown stand under the limit of {float} and {int}, with none left out", async (ratio: number, slack: number) => {
+  const told = asRec(parseJson((await during(call(liveBox().control, "GET", "/tell/retries"))).body));
+  const row = asList(told["retries"]).map((value) => asRec(value)).find((one) => one["service"] === "s-old" && one["kind"] === "unsafe");
+  assert.ok(row, JSON.stringify(told));
+  assert.deepEqual([row["ratio"], row["slack"], row["unheard"]], [ratio, slack, 0]);
+  const arrivals = [...workers.values()].flatMap(({ seen }) => seen.map(({ tryId }) => tryId));
+  const again = arrivals.length - new Set(arrivals).size;
+  assert.ok(again <= ratio * Number(row["requests"]) + slack, `${again} of ${String(row["requests"])}`);
+  assert.ok(Number(row["spent"]) >= again && Number(row["refused"]) > 0, JSON.stringify(row));
+});
+Then("no order ran twice", () => {
+  const runs = new Map<string, number>();
+  workers.forEach(({ seen, manner }) => seen.forEach(({ tryId }) => manner !== "full" && runs.set(tryId, (runs.get(tryId) ?? 0) + 1)));
+  runs.forEach((count) => assert.equal(count, 1));
+});
+
+let moves: Rec = {};
+let sentBefore = 0;
+let openBefore = 0;
+const sentInAll = (): number => [...workers.values()].reduce((sum, { seen }) => sum + seen.length, 0);
+const openedInAll = (): number => [...workers.values()].reduce((sum, { connections }) => sum + connections, 0);
+When("the forecast of retiring {string} is asked of box {int}", async (id: string, number: number) => {
+  [sentBefore, openBefore] = [sentInAll(), openedInAll()];
+  const answer = await post(boxes[number - 1], "/backends/forecast", { add: [], retire: [id], byRoute: true });
+  assert.equal(answer.status, 200, JSON.stringify(answer.body));
+  moves = asRec(answer.body["moves"]);
+});
+Then("it names the share that was sent to {string}, node by node and for the fleet", (id: string) => {
+  const seen = workers.get(id)?.seen.length ?? 0;
+  const [fleet] = asList(moves["fleet"]).map((value) => asRec(value));
+  assert.ok(fleet && seen > 0);
+  assert.deepEqual([fleet["kind"], fleet["route"], fleet["calls"], asList(moves["unheard"]).length], ["unsafe", "r-unsafe", 60, 0]);
+  assert.ok(Math.abs(Number(fleet["moved"]) - seen / 60) < 1e-9, `${String(fleet["moved"])} against ${seen}`);
+  assert.ok(Number(fleet["low"]) <= Number(fleet["moved"]) && Number(fleet["moved"]) <= Number(fleet["high"]));
+  const rows = asList(moves["nodes"]).map((value) => asRec(value));
+  assert.equal(rows.length, 5);
+  assert.ok(Math.abs(rows.reduce((sum, row) => sum + Number(row["moved"]) * Number(row["calls"]), 0) - seen) < 1e-9);
+});
+Then("asking sent nothing to any worker and opened no connection", () => assert.deepEqual([sentInAll(), openedInAll()], [sentBefore, openBefore]));
+Then("forecasts of what can't be are refused with one sentence each", async () => {
+  const refused: readonly (readonly [Rec, RegExp])[] = [
+    [{ add: [], retire: ["nobody"] }, /no worker nobody/],
+    [{ add: [{ service: "s-none", cell: "c1", count: 1 }], retire: [] }, /no service s-none/],
+    [{ add: [{ service: "s-old", cell: "c9", count: 1 }], retire: [] }, /no cell c9/],
+    [{ add: [], retire: ["old-1", "old-2", "old-3"] }, /all workers of s-old/],
+    [{ add: [], retire: [] }, /name a backend/],
+    [{ add: "x", retire: [] }, /add must be a list/],
+  ];
+  for (const [body, sentence] of refused) {
+    const answer = await post(boxes[0], "/backends/forecast", body);
+    assert.equal(answer.status, 400);
+    assert.match(String(answer.body["problem"]), sentence);
+  }
+});
--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -4,7 +4,7 @@
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { readCall } from "../../src/interlocking/check.js";
 import { Board, PLAN_PREFIX, WORKER_PREFIX } from "../../src/signalling/board.js";
-import { Allowance } from "../../src/traction/allowance.js";
+import { RetryBudgets } from "../../src/traction/retry-budget.js";
 import { Front } from "../../src/traction/front.js";
 import { KeyDesk } from "../../src/traction/key-desk.js";
 import { RouteTable } from "../../src/traction/routes.js";
@@ -12,6 +12,7 @@
 import { reportOf, shunt, type ShuntReport } from "../../src/programs/shunter.js";
 import type { Message } from "../../src/trackbed/wire.js";
 import { silentLog } from "../../src/trackbed/log.js";
+import { defaultLimits, type RouteKind } from "../../src/trackbed/retry-limits.js";
 import { ManualClock, settle } from "../support/manual-clock.js";
 import { StandIn, type Manner } from "../support/stand-in.js";
 
@@ -65,7 +66,8 @@
 let fronts = 0;
 let host = "";
 let rolloutCounts: string[] = [];
-let isAllowanceEmpty = false;
+let isBudgetEmpty = false;
+let retriesOf: (kind: RouteKind) => number = () => 0;
 let workers = new Map<string, StandIn>();
 let got: Got[] = [];
 let raw = "";
@@ -100,8 +102,8 @@
   board = new Board(clock);
   yard = new Yard(clock, "n1", "c1");
   const table = new RouteTable();
-  const generous = new Allowance(clock, { ratio: 100, windowUs: 10_000_000, slack: 100 });
-  const none = new Allowance(clock, { ratio: 0, windowUs: 10_000_000, slack: 0 });
+  const budgets = new RetryBudgets({ clock, log: silentLog, windowUs: 10_000_000, limits: () => defaultLimits({ ratio: isBudgetEmpty ? 0 : 100, slack: 0, windowUs: 10_000_000 }) });
+  retriesOf = (kind) => budgets.of("s1", kind).tell().retries;
   front = new Front({
     clock,
     log: silentLog,
@@ -109,7 +111,7 @@
     roomBytes: 64 * 1024,
     table,
     yard,
-    allowanceOf: () => (isAllowanceEmpty ? none : generous),
+    budgets,
     connectionShare: () => 10,
     countFault: () => undefined,
     tally: () => undefined,
@@ -212,7 +214,7 @@
   got = [];
   raw = "";
   rolloutCounts = [];
-  isAllowanceEmpty = false;
+  isBudgetEmpty = false;
 });
 
 After({ tags: "not @none" }, () => {
@@ -235,8 +237,8 @@
   assert.ok(known, `no such manner: ${manner}`);
   await join(id, known);
 });
-Given("the allowance is empty", () => {
-  isAllowanceEmpty = true;
+Given("the retry budget is empty", () => {
+  isBudgetEmpty = true;
 });
 
 When("a caller posts {string} to {string}", async (body: string, path: string) => {
@@ -280,6 +282,15 @@
   raw = await converse("this is no request\r\n\r\n", (answer) => answer.includes("\r\n\r\n"));
 });
 
+When("{string} is gone without a word and a caller posts {int} orders to {string}", async (id: string, count: number, path: string) => {
+  worker(id).stop();
+  for (let at = 0; at < count; at += 1) {
+    got.push(await during(send("POST", path, "an order"), 2_000));
+    await clock.pass(1_100_000);
+  }
+});
+Then("no retry was counted", () => assert.deepEqual([retriesOf("safe"), retriesOf("unsafe")], [0, 0]));
+
 Then("the answer is {int}", (status: number) => assert.equal(last().status, status));
 Then("the answer is {int} with Retry-After", (status: number) => {
   assert.equal(last().status, status);
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -180,6 +180,8 @@
   readonly workers = new Map<string, SimWorker>();
   readonly nodes: SimNode[] = [];
   readonly sent: Sent[] = [];
+  /** Hears of each call as it is sent. */
+  onSent: (node: string, worker: string) => void = () => undefined;
   private readonly random: () => number;
   private version = 0;
 
@@ -234,6 +236,7 @@
     const worker = node.chooser.choose("s", new Set(), this.terms.aimUs);
     if (!worker) return void this.sent.push({ atUs: sentUs, node: node.name, worker: "", tookUs: 0, kind: "refused" });
     node.chosen.push(worker.id);
+    this.onSent(node.name, worker.id);
     const call = worker.begin();
     this.workers.get(worker.id)?.offer({
       node,
--- a/features/system.feature
+++ b/features/system.feature
@@ -40,6 +40,24 @@
     Then within 6 seconds the new service is stopped on "r-unsafe"
     And every pointsman sends orders to the old service only
 
+  Scenario: The written retry limit is set at any signalbox, checked, told to operators, and survives the duty's holder
+    Given every pointsman is ready
+    When the retry limit of "unsafe" is set to 0.05 and 4 through each signalbox in turn
+    Then it is taken each time
+    And a limit above the deployment's is refused with one sentence
+    When the holder of the duty ends in order
+    And the old service's workers are full and orders are placed
+    Then the retries shown stand under the limit of 0.05 and 4, with none left out
+    And no order ran twice
+
+  Scenario: A forecast of retired workers, asked of every pointsman, moves no call
+    Given every pointsman is ready
+    And 60 orders are placed over all pointsmen
+    When the forecast of retiring "old-1" is asked of box 2
+    Then it names the share that was sent to "old-1", node by node and for the fleet
+    And asking sent nothing to any worker and opened no connection
+    And forecasts of what can't be are refused with one sentence each
+
   Scenario: A worker that beats at a signalbox is told where its own cell's signalbox is
     When worker "old-2" of another cell beats at box 1
     Then it is told to report to the signalbox of its own cell
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -1,4 +1,4 @@
-Feature: Settings, the allowance and the registry keep their terms
+Feature: Settings and the registry keep their terms
 
   Scenario Outline: A wrong settings file is refused with one line naming the field
     When settings are read in which <flaw>
@@ -18,15 +18,6 @@
     When settings are read in which nothing is wrong
     Then the grace is 6000000 microseconds
 
-  Scenario: The repeats of all nodes together stay within the bound in every window
-    Given 10 nodes that share a slack of 70 at a ratio of 0.2 over 10 seconds
-    When each sends 5 requests a second and wants a repeat for each, for 60 seconds, and node 3 restarts at 30
-    Then in no window do the repeats exceed 0.2 times the requests plus 70
-
-  Scenario: A node that has just started has an empty allowance
-    Given 1 nodes that share a slack of 70 at a ratio of 0.2 over 10 seconds
-    Then it may repeat nothing
-
   Scenario: A late beat does not make a draining worker ready again
     Given a registry that knows worker "w1" as draining at call 5
     When a beat of call 4 says that "w1" is ready
--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -123,14 +123,22 @@
     When a caller sends what is no request
     Then the raw answer is 400
 
-  Scenario: A repeat that the allowance does not cover is not sent
+  Scenario: A retry that the budget does not cover is not sent
     Given a worker "w1" that answers with a reset
     And a worker "w2" that answers with a reset
-    And the allowance is empty
+    And the retry budget is empty
     When a caller gets "/safe/x"
     Then the answer is 502
     And the workers saw 1 request in all
 
+  Scenario: Nothing was sent to a worker that can't be reached, so going on to another is no retry
+    Given a worker "w1" that answers well
+    And a worker "w2" that answers well
+    And the retry budget is empty
+    When "w1" is gone without a word and a caller posts 8 orders to "/unsafe/x"
+    Then every answer was 200
+    And no retry was counted
+
   Scenario: The load generator sends at its moments and measures from them
     Given a worker "w1" that answers well
     When the load generator sends 10 requests a second for 2 seconds to "/safe/x"
--- a/src/goods/origin.ts
+++ b/src/goods/origin.ts
@@ -2,7 +2,7 @@
 import { rest, within, type Clock } from "../trackbed/clock.js";
 import { MS } from "../trackbed/span.js";
 import { WorkerCall, type Answer, type CallVerdict } from "../traction/call.js";
-import type { Allowance } from "../traction/allowance.js";
+import type { RetryBudgets } from "../traction/retry-budget.js";
 import type { Chooser } from "../traction/choose.js";
 import { headOf, LABELS, passOn, TRY_ID } from "../traction/heads.js";
 import type { Worker, Yard } from "../traction/yard.js";
@@ -15,7 +15,7 @@
   readonly yard: Yard;
   readonly chooser: Chooser;
   readonly rate: RateShare;
-  readonly allowanceOf: (service: string) => Allowance;
+  readonly budgets: RetryBudgets;
   readonly countFault: (worker: string, isFault: boolean) => void;
   /** The largest object that is read whole. */
   readonly mostBytes: number;
@@ -40,14 +40,15 @@
   constructor(private readonly options: OriginOptions) {}
 
   readonly fetch = async (want: Want, old: Copy | undefined): Promise<Found> => {
-    const { clock, allowanceOf } = this.options;
+    const { clock, budgets } = this.options;
+    const budget = budgets.of(want.service, "cached");
     const tried = new Set<string>();
     let bad: Copy | undefined;
     for (let round = 0; round < TRIES; round += 1) {
-      if (round > 0 && !allowanceOf(want.service).spend()) break;
+      if (round > 0 && !budget.spend()) break;
       const turn = await this.turn(want);
       if (turn !== undefined) return bad ? { kind: "found", copy: bad } : turn;
-      if (round === 0) allowanceOf(want.service).count();
+      if (round === 0) budget.count();
       const worker = await this.worker(want, tried);
       if (!worker) break;
       tried.add(worker.id);
--- a/src/goods/rate.ts
+++ b/src/goods/rate.ts
@@ -1,3 +1,4 @@
+import { ShareOffice } from "../interlocking/share-office.js";
 import type { Clock } from "../trackbed/clock.js";
 
 export interface Grant {
@@ -60,70 +61,37 @@
   };
 }
 
-interface Given {
-  readonly share: number;
-  readonly endUs: number;
-}
-
-interface Holder {
-  readonly kind: string;
-  seenUs: number;
-  given: Given[];
-}
-
 export const GRANT_LASTS_US = 3_000_000;
 const SEEN_US = 2_000_000;
 
-/**
- * The duty's holder gives the rate out in shares.
- * Invariants: the shares of grants that have not ended add up to at most 1; for a whole grant's length after taking the
- * duty a holder only renews what its bearers still have from the one before, since it doesn't know what that one gave.
- */
+/** The duty's holder gives the rate out in shares: equal ones of the depots, or of the pointsmen while no depot is seen. */
 export class RateOffice {
-  private readonly holders = new Map<string, Holder>();
-  private sinceUs: number | undefined;
+  private readonly seen = new Map<string, { readonly kind: string; readonly atUs: number }>();
+  private readonly office: ShareOffice;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock) {
+    this.office = new ShareOffice(clock, { lastsUs: GRANT_LASTS_US, restUs: 0 });
+  }
 
-  /** Called whenever the duty is not held here: what was given is no longer known to be all. */
+  /** Called whenever the duty is not held here. */
   readonly lose = (): void => {
-    this.sinceUs = undefined;
-    this.holders.clear();
+    this.office.lose();
+    this.seen.clear();
   };
 
   /** A share for one life of a node, for GRANT_LASTS_US from now. */
   readonly give = (life: string, kind: string, held: number): number => {
     const nowUs = this.clock.nowUs();
-    this.sinceUs ??= nowUs;
-    const holder = this.holders.get(life) ?? { kind, seenUs: nowUs, given: [] };
-    holder.seenUs = nowUs;
-    this.holders.set(life, holder);
-    this.trim(nowUs);
-    let others = 0;
-    this.holders.forEach((other) => {
-      if (other !== holder) others += outstanding(other);
+    this.seen.set(life, { kind, atUs: nowUs });
+    this.seen.forEach(({ atUs }, other) => {
+      if (nowUs - atUs >= SEEN_US) this.seen.delete(other);
     });
-    const left = Math.max(0, 1 - others);
-    const isNew = nowUs - this.sinceUs < GRANT_LASTS_US;
-    const share = Math.min(left, isNew ? held : this.wanted(kind, nowUs));
-    holder.given.push({ share, endUs: nowUs + GRANT_LASTS_US });
-    return share;
+    return this.office.give(life, this.wanted(kind), held, 1);
   };
 
-  /** Equal shares of the depots, or of the pointsmen as long as no depot is seen. */
-  private readonly wanted = (kind: string, nowUs: number): number => {
-    const seen = [...this.holders.values()].filter((other) => nowUs - other.seenUs < SEEN_US);
-    const depots = seen.filter((other) => other.kind === "depot").length;
+  private readonly wanted = (kind: string): number => {
+    const depots = [...this.seen.values()].filter((other) => other.kind === "depot").length;
     if (kind !== "depot" && depots > 0) return 0;
-    return 1 / Math.max(1, kind === "depot" ? depots : seen.length);
+    return 1 / Math.max(1, kind === "depot" ? depots : this.seen.size);
   };
-
-  private readonly trim = (nowUs: number): void =>
-    this.holders.forEach((holder, life) => {
-      holder.given = holder.given.filter(({ endUs }) => endUs > nowUs);
-      if (holder.given.length === 0 && nowUs - holder.seenUs > GRANT_LASTS_US) this.holders.delete(life);
-    });
 }
-
-/** A renewal that was lost leaves the old grant in force, so the largest one counts. */
-const outstanding = (holder: Holder): number => holder.given.reduce((most, { share }) => Math.max(most, share), 0);
--- /dev/null
+++ b/src/interlocking/retry-office.ts
@@ -0,0 +1,65 @@
+import type { Clock } from "../trackbed/clock.js";
+import { kindOf, limitOf, type RetryLimits } from "../trackbed/retry-limits.js";
+import { asList, list, numberOf, text, textOf } from "../trackbed/shape.js";
+import { SECOND } from "../trackbed/span.js";
+import type { Message } from "../trackbed/wire.js";
+import { ShareOffice } from "./share-office.js";
+
+export const RETRY_LEASE_US = 3 * SECOND;
+/** Kept back of the slack, as the nodes keep back of the ratio. */
+const USED_PART = 0.8;
+/** No node gets more of a slack than this part of it, so that the first to ask don't take it all. */
+const MOST_PART = 1 / 8;
+
+export interface RetryOfficeOptions {
+  readonly clock: Clock;
+  readonly windowUs: number;
+  /** Whether this signalbox holds the duty, and a majority is in reach. */
+  readonly isHolder: () => boolean;
+  readonly limits: () => RetryLimits;
+}
+
+/**
+ * The duty's holder leases the slack of each service and kind to the nodes that are short of retries.
+ * Invariant: for any window, the tokens of all leases under which something was sent in it add up to at most the slack:
+ * a lease's tokens are given anew only a whole window after its end.
+ */
+export class RetryOffice {
+  private readonly offices = new Map<string, ShareOffice>();
+  private sinceUs: number | undefined;
+
+  constructor(private readonly options: RetryOfficeOptions) {}
+
+  /** Called every second or so: a new holder's wait begins when it takes the duty, not when it is first asked. */
+  readonly look = (): void => {
+    if (!this.options.isHolder()) {
+      this.offices.clear();
+      this.sinceUs = undefined;
+      return;
+    }
+    this.sinceUs ??= this.options.clock.nowUs();
+    this.offices.forEach((office, key) => {
+      if (office.isIdle) this.offices.delete(key);
+    });
+  };
+
+  readonly answer = (message: Message): Message => {
+    this.look();
+    if (this.sinceUs === undefined) return { kind: "retries" };
+    const life = text(message, "life");
+    const rows = list(message, "wants", (value) => {
+      const [service, kind, wanted, held] = asList(value, "want");
+      return [textOf(service), textOf(kind), this.give(life, textOf(service), textOf(kind), numberOf(wanted), numberOf(held))];
+    });
+    return { kind: "retries", rows, lastsUs: RETRY_LEASE_US };
+  };
+
+  private readonly give = (life: string, service: string, kind: string, wanted: number, held: number): number => {
+    const { clock, windowUs, limits } = this.options;
+    const whole = limitOf(limits(), service, kindOf(kind)).slack * USED_PART;
+    const key = `${service}|${kind}`;
+    const office = this.offices.get(key) ?? new ShareOffice(clock, { lastsUs: RETRY_LEASE_US, restUs: windowUs }, this.sinceUs);
+    this.offices.set(key, office);
+    return office.give(life, Math.min(wanted, Math.max(1, whole * MOST_PART)), held, whole);
+  };
+}
--- a/src/programs/control.ts
+++ b/src/programs/control.ts
@@ -127,6 +127,9 @@
   readonly shift: (cell: string, why: string) => Promise<boolean>;
   readonly clearRollout: (route: string, version: number | undefined) => Promise<OutcomeName>;
   readonly window: (order: WindowCall) => Promise<Verdict>;
+  readonly setRetries: (order: Rec) => Promise<Verdict>;
+  readonly forecastBackends: (order: Rec) => Promise<Verdict>;
+  readonly seenBackends: (order: Rec) => Promise<Verdict>;
 }
 
 export type WindowCall =
@@ -181,5 +184,8 @@
   { method: "POST", path: "/windows", act: (call) => addWindow(orders, call) },
   { method: "POST", path: "/windows/*/cancel", act: (call) => orders.window({ what: "cancel", id: call.segments[1] ?? "" }) },
   { method: "POST", path: "/windows/*/extend", act: (call) => extendWindow(orders, call) },
+  { method: "POST", path: "/retries", act: (call) => orders.setRetries(bodyOf(call)) },
+  { method: "POST", path: "/backends/forecast", act: (call) => orders.forecastBackends(bodyOf(call)) },
+  { method: "POST", path: "/backends/seen", act: (call) => orders.seenBackends(bodyOf(call)) },
   { method: "POST", path: "/rollouts/*/clear", act: (call) => clearRollout(orders, call) },
 ];
--- a/src/programs/depot.ts
+++ b/src/programs/depot.ts
@@ -9,7 +9,6 @@
 import { Store, type Found, type Want } from "../goods/store.js";
 import type { Member } from "./member.js";
 import { joinNews } from "./member.js";
-import { Allowance } from "../traction/allowance.js";
 import { Chooser } from "../traction/choose.js";
 import { RouteTable } from "../traction/routes.js";
 import { Yard } from "../traction/yard.js";
@@ -19,6 +18,7 @@
 import { SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import { followPurges } from "./purges.js";
+import { openRetryBudgets } from "./retries.js";
 import type { Running } from "./running.js";
 
 const MB = 1024 * 1024;
@@ -34,22 +34,14 @@
 export const runDepot = async (settings: Settings, clock: Clock): Promise<Running> => {
   const log = logFor("depot");
   const serve = (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => counter.serve(wire, hello, incoming);
-  const { board, taker, relay }: Member = joinNews(settings, clock, "depot", { goods: serve });
+  const { board, taker, relay }: Member = joinNews(settings, clock, "depot", { goods: serve }, (question) => (question.kind === "retries" ? { kind: "retries", rows: budgets.tell() } : undefined));
   const table = new RouteTable();
   const yard = new Yard(clock, settings.name, settings.cell);
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
   const counts = new FaultCounts(life);
-  const allowances = new Map<string, Allowance>();
-  let crew = { depots: 1, here: 1, pointsmen: 1 };
+  let crew = { depots: 1, here: 1 };
 
-  const allowanceOf = (service: string): Allowance => {
-    const known = allowances.get(service);
-    if (known) return known;
-    const fresh = new Allowance(clock, { ratio: settings.retryRatio, windowUs: settings.retryWindowUs, slack: settings.retrySlack });
-    fresh.setCrew(crew.pointsmen + crew.depots);
-    allowances.set(service, fresh);
-    return fresh;
-  };
+  const budgets = openRetryBudgets(settings, clock, board, taker, life);
   const rate = new RateShare(clock, (service) => table.service(service)?.ratePerS ?? 0);
   const freshness = new Freshness({ clock, purgeUs: settings.purgeUs, stretchUs: settings.stretchUs, isFed: () => taker.isFed });
   const copies = new Copies(clock, (settings.memoryMb || DEFAULT_MEMORY_MB) * MB * COPIES_PART);
@@ -59,7 +51,7 @@
     random: Math.random,
     connectionShare: (service) => Math.max(1, Math.floor((table.service(service)?.maxConnections ?? 16) / (2 * crew.depots))),
   });
-  const origin = new Origin({ clock, yard, chooser, rate, allowanceOf, countFault: counts.count, mostBytes: MOST_OBJECT_BYTES });
+  const origin = new Origin({ clock, yard, chooser, rate, budgets, countFault: counts.count, mostBytes: MOST_OBJECT_BYTES });
   const here = `${settings.ip}:${settings.relayPort}`;
   const others = new Depots(clock);
   let addresses: readonly string[] = [here];
@@ -93,9 +85,8 @@
     const depots = told.depots ?? [];
     addresses = [here, ...depots.map(({ address }) => address).filter((address) => address !== here)];
     others.learn(depots.filter(({ address }) => address !== here));
-    crew = { depots: Math.max(1, depots.length), here: Math.max(1, depots.filter(({ cell }) => cell === settings.cell).length), pointsmen: told.pointsmen };
+    crew = { depots: Math.max(1, depots.length), here: Math.max(1, depots.filter(({ cell }) => cell === settings.cell).length) };
     yard.setNodes({ here: crew.here, everywhere: crew.depots });
-    allowances.forEach((allowance) => allowance.setCrew(crew.pointsmen + crew.depots));
   });
   const keeper = new RateKeeper({ clock, rate, life, who: "depot", ask: taker.ask, wants: () => true });
   await relay.listen(settings.ip, settings.relayPort);
--- a/src/programs/member.ts
+++ b/src/programs/member.ts
@@ -2,7 +2,7 @@
 import { Feeder } from "../signalling/feeder.js";
 import type { Role } from "../signalling/sessions.js";
 import { Switchboard, type Receiver } from "../signalling/switchboard.js";
-import { Taker } from "../signalling/taker.js";
+import { Taker, type TakerOptions } from "../signalling/taker.js";
 import type { Clock } from "../trackbed/clock.js";
 import { logFor } from "../trackbed/log.js";
 import type { Settings } from "../trackbed/settings.js";
@@ -18,7 +18,7 @@
 }
 
 /** A node of the data plane among the others: its session with a signalbox, and its place in the relay tree. */
-export const joinNews = (settings: Settings, clock: Clock, role: Role, receivers: Readonly<Record<string, Receiver>> = {}): Member => {
+export const joinNews = (settings: Settings, clock: Clock, role: Role, receivers: Readonly<Record<string, Receiver>> = {}, answer?: TakerOptions["answer"]): Member => {
   const log = logFor("relay");
   const board = new Board(clock);
   const taker = new Taker({
@@ -33,6 +33,7 @@
     times: TIMES,
     board,
     log: logFor("taker"),
+    ...(answer ? { answer } : {}),
   });
   const feeder = new Feeder(clock, board, () => false);
   const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
--- a/src/programs/pointsman-goods.ts
+++ b/src/programs/pointsman-goods.ts
@@ -9,9 +9,9 @@
 import { Store, type Found } from "../goods/store.js";
 import type { Board } from "../signalling/board.js";
 import type { Taker } from "../signalling/taker.js";
-import type { Allowance } from "../traction/allowance.js";
 import { Chooser } from "../traction/choose.js";
 import { KeyDesk } from "../traction/key-desk.js";
+import type { RetryBudgets } from "../traction/retry-budget.js";
 import type { RouteTable } from "../traction/routes.js";
 import type { Yard } from "../traction/yard.js";
 import type { Clock } from "../trackbed/clock.js";
@@ -28,7 +28,7 @@
   readonly table: RouteTable;
   readonly yard: Yard;
   readonly life: string;
-  readonly allowanceOf: (service: string) => Allowance;
+  readonly budgets: RetryBudgets;
   readonly connectionShare: (service: string) => number;
   readonly countFault: (worker: string, isFault: boolean) => void;
 }
@@ -51,14 +51,14 @@
 
 /** What a pointsman of a content deployment has besides. */
 export const openPointsmanGoods = (options: PointsmanGoodsOptions): PointsmanGoods => {
-  const { settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault } = options;
+  const { settings, clock, board, taker, table, yard, life, budgets, connectionShare, countFault } = options;
   const distance = distanceFrom(settings.cell, settings.regions);
   const depots = new Depots(clock, distance);
   const halls = new Depots(clock);
   const rate = new RateShare(clock, (service) => table.service(service)?.ratePerS ?? 0);
   const freshness = new Freshness({ clock, purgeUs: settings.purgeUs, stretchUs: settings.stretchUs, isFed: () => taker.isFed });
   const chooser = new Chooser({ yard, cell: settings.cell, random: Math.random, connectionShare });
-  const origin = new Origin({ clock, yard, chooser, rate, allowanceOf, countFault, mostBytes: MOST_OBJECT_BYTES });
+  const origin = new Origin({ clock, yard, chooser, rate, budgets, countFault, mostBytes: MOST_OBJECT_BYTES });
   const goods = new Goods({
     clock,
     roomBytes: ((settings.memoryMb || DEFAULT_MEMORY_MB) * MB) / COPIES_PART,
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -2,7 +2,7 @@
 import { UsageCounts } from "../inspection/usage-counts.js";
 import { RolloutCounts } from "../inspection/rollout-counts.js";
 import type { Crew } from "../signalling/feeder.js";
-import { Allowance } from "../traction/allowance.js";
+import { CallCounts } from "../traction/call-counts.js";
 import { Front } from "../traction/front.js";
 import { RouteTable } from "../traction/routes.js";
 import { Yard } from "../traction/yard.js";
@@ -12,7 +12,9 @@
 import { MS, SECOND } from "../trackbed/span.js";
 import { serveCalls } from "./dispatch.js";
 import { joinNews } from "./member.js";
+import { answersOf } from "./pointsman-answers.js";
 import type { PointsmanGoods, PointsmanGoodsOptions } from "./pointsman-goods.js";
+import { openRetryBudgets } from "./retries.js";
 import type { Running } from "./running.js";
 
 const MB = 1024 * 1024;
@@ -32,30 +34,24 @@
 /** Puts the data plane together on one machine. */
 export const runPointsman = async (settings: Settings, clock: Clock): Promise<Running> => {
   const log = logFor("pointsman");
-  const { board, taker, relay } = joinNews(settings, clock, "pointsman", { goods: (...session) => goods?.receiver(...session) ?? Promise.resolve() });
+  const { board, taker, relay } = joinNews(settings, clock, "pointsman", { goods: (...session) => goods?.receiver(...session) ?? Promise.resolve() }, (question) => answers(question));
   const table = new RouteTable();
   const yard = new Yard(clock, settings.name, settings.cell);
   const life = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
   const counts = new FaultCounts(life);
   const rollouts = new RolloutCounts(life);
   const usage = new UsageCounts(life);
-  const allowances = new Map<string, Allowance>();
+  const calls = new CallCounts(clock);
+  const budgets = openRetryBudgets(settings, clock, board, taker, life);
+  const answers = answersOf({ node: settings.name, cell: settings.cell, yard, calls, budgets });
   const tallies = new Map<string, number>();
   let crew: Crew = { pointsmen: 1, cells: {} };
   let leaving = false;
 
-  const allowanceOf = (service: string): Allowance => {
-    const known = allowances.get(service);
-    if (known) return known;
-    const fresh = new Allowance(clock, { ratio: settings.retryRatio, windowUs: settings.retryWindowUs, slack: settings.retrySlack });
-    fresh.setCrew(crew.pointsmen);
-    allowances.set(service, fresh);
-    return fresh;
-  };
   const connectionShare = (service: string): number =>
     Math.max(1, Math.floor((table.service(service)?.maxConnections ?? 16) / Math.max(1, crew.pointsmen)));
 
-  const goods = settings.deployment === CONTENT ? await openGoods({ settings, clock, board, taker, table, yard, life, allowanceOf, connectionShare, countFault: counts.count }) : undefined;
+  const goods = settings.deployment === CONTENT ? await openGoods({ settings, clock, board, taker, table, yard, life, budgets, connectionShare, countFault: counts.count }) : undefined;
   const front = new Front({
     clock,
     log: logFor("front"),
@@ -63,7 +59,7 @@
     roomBytes: ((settings.memoryMb || DEFAULT_MEMORY_MB) * MB) / ROOM_PART,
     table,
     yard,
-    allowanceOf,
+    budgets,
     connectionShare,
     countFault: counts.count,
     tally: (route, kind, outcome) => {
@@ -71,6 +67,7 @@
       tallies.set(key, (tallies.get(key) ?? 0) + 1);
     },
     countRollout: (route, service, stratum, outcome) => rollouts.count(route.name, route.version, service, `${settings.cell}|${stratum}`, outcome),
+    countCall: calls.count,
     random: Math.random,
     usage,
     acts: settings.forecastActs,
@@ -92,7 +89,6 @@
   taker.events.on("crew", (told) => {
     crew = told;
     yard.setNodes({ here: Math.max(1, told.cells[settings.cell] ?? 1), everywhere: Math.max(1, told.pointsmen) });
-    allowances.forEach((allowance) => allowance.setCrew(told.pointsmen));
   });
 
   const isReady = (): boolean => !leaving && !yard.isEmptied(settings.cell) && table.isHeld && yard.size > 0;
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { join } from "node:path";
 import { Archive } from "../interlocking/archive.js";
-import { isPlanKey } from "../interlocking/check.js";
+import { isPlanKey, serviceKey } from "../interlocking/check.js";
 import { Duty } from "../interlocking/duty.js";
 import { Ledger, membersOf, quorumOf, ROSTER_KEY, STORE_WAIT_US } from "../interlocking/ledger.js";
 import { makeRegister, Registers, type Register } from "../interlocking/register.js";
@@ -12,7 +12,7 @@
 import { NO_ROLLOUTS, readRolloutState, RolloutInspector, type ClearMishap, type RolloutState } from "../inspection/rollout-inspector.js";
 import { readWindows, WINDOW_SENTENCES, WINDOW_TERMS, Windows, type WindowMishap, type WindowState } from "../inspection/windows.js";
 import { SplitRoutes } from "../inspection/split-routes.js";
-import { Board, EJECTIONS_KEY, FORECAST_KEY, PLAN_PREFIX, ROLLOUTS_KEY, WORKER_PREFIX, type NewFact } from "../signalling/board.js";
+import { Board, EJECTIONS_KEY, FORECAST_KEY, PLAN_PREFIX, RETRIES_KEY, ROLLOUTS_KEY, WORKER_PREFIX, type NewFact } from "../signalling/board.js";
 import { Colleagues } from "../signalling/colleagues.js";
 import { Feeder } from "../signalling/feeder.js";
 import { readSharedBeat, Registry, type Beat } from "../signalling/registry.js";
@@ -28,7 +28,10 @@
 import { TIMES } from "./member.js";
 import { Commands, controlEntries, Queries, type WindowCall } from "./control.js";
 import { serveCalls, type Verdict } from "./dispatch.js";
+import { NodeAnswers } from "./node-answers.js";
 import type { Running } from "./running.js";
+import { openBackends } from "./signalbox-backends.js";
+import { openRetries } from "./signalbox-retries.js";
 
 const SWEEP_US = 1 * SECOND;
 const REMEMBER_US = 500 * MS;
@@ -36,6 +39,14 @@
 const ROLLOUTS_REGISTER = "duty/rollouts";
 const FORECAST_REGISTER = "duty/forecast";
 const WINDOWS_REGISTER = "duty/windows";
+const RETRIES_REGISTER = "duty/retries";
+/** Registers that the nodes are told of as they stand, and the facts that tell them. */
+const TOLD_REGISTERS: Readonly<Record<string, string>> = {
+  [EJECTIONS_REGISTER]: EJECTIONS_KEY,
+  [FORECAST_REGISTER]: FORECAST_KEY,
+  [ROLLOUTS_REGISTER]: ROLLOUTS_KEY,
+  [RETRIES_REGISTER]: RETRIES_KEY,
+};
 /** What is learned so soon after a start may have been so for any time. */
 const YOUNG_US = 10 * SECOND;
 const EPOCH_ROOM = 1_000_000;
@@ -182,7 +193,7 @@
     publish: (wanted) => publish(WINDOWS_REGISTER, { windows: wanted }),
     shift: () => decisions().shift,
     setShift: inspector.setShift,
-    cells: () => [...new Set([...registry.all().map(({ cell }) => cell), ...sessions.nodes().map(({ cell }) => cell)])],
+    cells: () => cells(),
     workers: () => registry.all().map(({ cell, service, capacity, state }) => ({ cell, service, capacity, isReady: state === "ready" })),
     longestBudgetUs: splitRoutes.longestGiveUpUs,
     isBorne: (cell) => {
@@ -246,7 +257,21 @@
     settings.deployment === "content"
       ? (await import("./signalbox-content.js")).openContent({ settings, clock, ledger, colleagues, board, feeder, duty })
       : undefined;
-  const answerNode = async (message: Message, node: string): Promise<Message> => (await content?.answerNode(message, node)) ?? { kind: "unknown" };
+  const nodeAnswers = new NodeAnswers(sessions, colleagues);
+  const retries = openRetries({
+    settings,
+    clock,
+    duty,
+    colleagues,
+    published: () => published<unknown>(RETRIES_REGISTER, (value) => value, undefined),
+    publish: (limits) => publish(RETRIES_REGISTER, limits),
+    isService: (name) => ledger.get(serviceKey(name))?.dropped === false,
+    askNodes: nodeAnswers.askAll,
+  });
+  const cells = () => [...new Set([...registry.all().map(({ cell }) => cell), ...sessions.nodes().map(({ cell }) => cell)])];
+  const backends = openBackends({ registry, cells, askNodes: nodeAnswers.askAll });
+  const answerNode = async (message: Message, node: string): Promise<Message> =>
+    message.kind === "retry-ask" ? retries.answerNode(message) : ((await content?.answerNode(message, node)) ?? { kind: "unknown" });
 
   const tellCrew = (): void => feeder.setCrew(sessions.crew());
 
@@ -305,6 +330,11 @@
       case "usage":
         reportTakers.get(message.kind)?.take(message);
         return undefined;
+      case "retry-ask":
+      case "retry-set":
+        return retries.answerColleague(message);
+      case "ask-nodes":
+        return nodeAnswers.answerColleague(message);
       case "tell":
         return { kind: "done", told: tellers[text(message, "what")]?.() };
       case "beats":
@@ -338,12 +368,11 @@
     const ejections = settled.find((register) => register.key === EJECTIONS_REGISTER);
     board.post(facts);
     if (ejections) sessions.leaveEmptied();
-    const pressed = settled.find((register) => register.key === FORECAST_REGISTER);
-    if (pressed) board.post([{ key: FORECAST_KEY, version: pressed.version, tie: pressed.digest, body: asRec(parseJson(pressed.body)) }]);
     if (settled.some((register) => register.key === WINDOWS_REGISTER)) windowsSinceUs = clock.nowUs();
-    if (ejections) board.post([{ key: EJECTIONS_KEY, version: ejections.version, tie: ejections.digest, body: asRec(parseJson(ejections.body)) }]);
-    const stops = settled.find((register) => register.key === ROLLOUTS_REGISTER);
-    if (stops) board.post([{ key: ROLLOUTS_KEY, version: stops.version, tie: stops.digest, body: asRec(parseJson(stops.body)) }]);
+    settled.forEach(({ key, version, digest, body }) => {
+      const told = TOLD_REGISTERS[key];
+      if (told !== undefined) board.post([{ key: told, version, tie: digest, body: asRec(parseJson(body)) }]);
+    });
     settled
       .filter((register) => register.key.startsWith(ROUTE_PREFIX))
       .forEach((register) => splitRoutes.take(register.key.slice(ROUTE_PREFIX.length), register.version, register.body));
@@ -386,6 +415,7 @@
   let wasComplete = false;
   const round = (): void => {
     registry.sweep();
+    retries.look();
     if (!wasComplete && registry.isComplete()) feeder.sendWhole();
     wasComplete = registry.isComplete();
     void sweep();
@@ -418,9 +448,10 @@
     rollouts: () => tellOfHolder("rollouts"),
     forecast: () => tellOfHolder("forecast"),
     windows: () => tellOfHolder("windows"),
+    retries: retries.show,
     ...(content?.tellers ?? {}),
   });
-  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout, window }));
+  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout, window, setRetries: retries.set, forecastBackends: backends.forecast, seenBackends: backends.seen }));
   const early = clock.every(100 * MS, () => {
     if (hasMended) early.stop();
     else void sweep();
--- a/src/programs/stationmaster.ts
+++ b/src/programs/stationmaster.ts
@@ -1,4 +1,4 @@
-import { readFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import { request } from "node:http";
 import type { Command } from "commander";
 import { err, ok, type Result } from "true-myth/result";
@@ -125,6 +125,76 @@
   return leftMs > 0 ? ok(`${leftMs}ms`) : err({ code: 2, sentence: `${when} is neither a span such as 90s nor a moment to come` });
 };
 
+const numberIn = (given: string): number | undefined => {
+  const value = Number(given);
+  return given.trim() !== "" && Number.isFinite(value) && value >= 0 ? value : undefined;
+};
+
+interface BackendsCall extends Common {
+  readonly add?: readonly string[];
+  readonly retire?: readonly string[];
+  readonly byRoute?: boolean;
+  readonly byNode?: boolean;
+  readonly keep?: string;
+  readonly check?: string;
+}
+
+const readAdded = (given: string): Rec | undefined => {
+  const parts = /^([^@]+)@([^*]+)(?:\*(\d+))?$/.exec(given);
+  return parts ? { service: parts[1], cell: parts[2], count: Number(parts[3] ?? 1) } : undefined;
+};
+
+const keepFile = async (path: string, moves: Rec): Promise<Result<Rec, OrderMishap>> => {
+  try {
+    await writeFile(path, JSON.stringify(moves));
+    return ok({});
+  } catch (mishap) {
+    return err({ code: 2, sentence: `${path} cannot be written: ${mishap instanceof Error ? mishap.message : "unknown"}` });
+  }
+};
+
+const percent = (value: unknown): string => (typeof value === "number" ? `${(value * 100).toFixed(1)}%` : "");
+const rounded = (value: unknown): unknown => (typeof value === "number" ? Math.round(value * 100) / 100 : value);
+
+/** A forecast as rows for people: shares in percent, cells in one column. */
+const forecastText = (moves: Rec, byNode: boolean): string => {
+  const line = ({ node, service, kind, route, calls, perS, moved, low, high, toCells, newConnections }: Rec): Rec => ({
+    ...(node === undefined ? {} : { node }),
+    service,
+    kind,
+    ...(route === undefined || route === "" ? {} : { route }),
+    calls,
+    perS: rounded(perS),
+    moved: percent(moved),
+    between: `${percent(low)} and ${percent(high)}`,
+    goesTo: isRec(toCells) ? Object.entries(toCells).map(([to, share]) => `${to} ${percent(share)}`).join(", ") : "",
+    newConnections: rounded(newConnections),
+  });
+  const loaded = rowsOf(moves["loaded"]).map((row) => Object.fromEntries(Object.entries(row).map(([name, value]) => [name, rounded(value)])));
+  return [
+    asTable(rowsOf(moves["fleet"]).map(line)),
+    ...(byNode ? ["", asTable(rowsOf(moves["nodes"]).map(line))] : []),
+    ...(loaded.length > 0 ? ["", "Workers whose slots would be in use beyond four fifths:", asTable(loaded)] : []),
+    ...rowsOfTexts(moves["warnings"]).map((warning) => `Warning: ${warning}.`),
+  ].join("\n");
+};
+
+const checkBackends = async (options: BackendsCall, file: string): Promise<void> => {
+  const { checkForecast, countsOf, readKept } = await import("./backends-check.js");
+  let kept: Rec | string;
+  try {
+    kept = readKept(parseJson(await readFile(file, "utf8")));
+  } catch {
+    kept = `${file} cannot be read`;
+  }
+  if (typeof kept === "string") return finish(err({ code: 2, sentence: kept }), String);
+  const services = [...new Set(rowsOf(kept["subsets"]).map((row) => cell(row["service"])))];
+  const told = await askAny(boxesOf(options), "POST", "/backends/seen", JSON.stringify({ services }));
+  const rows = told.isOk ? checkForecast(kept, rowsOf(told.value["seen"])) : [];
+  const shown = rows.map((row) => ({ ...row, forecastJoin: percent(row.forecastJoin), low: percent(row["low"]), high: percent(row["high"]), seenJoin: percent(row.seenJoin), seenLeave: percent(row.seenLeave) }));
+  finish(told, () => (options.json === true ? JSON.stringify(rows, undefined, 2) : `${asTable(shown)}\n${Object.entries(countsOf(rows)).map(([what, count]) => `${count} ${what}`).join(", ")}`));
+};
+
 /** The operator's command line. Queries take --json; commands answer with one line. */
 export const addStationmaster = (cli: Command): void => {
   const station = cli.command("stationmaster").description("the operator's command line: talks to any signalbox");
@@ -198,6 +268,48 @@
     finish(told, () => (options.json === true ? JSON.stringify(rows, undefined, 2) : asTable(rows)));
   });
 
+  const retries = station.command("retries").description("the fleet's written limit on retries, by kind of call");
+  query(retries.command("show").description("limit, spent, refused and left, by service and kind over all nodes")).action(async (options: Common) => {
+    finish(await askAny(boxesOf(options), "GET", "/tell/retries"), show(options, "retries"));
+  });
+  common(
+    retries
+      .command("set <kind>")
+      .description("write the limit of one kind (safe, unsafe, keyed, cached): in any window at most ratio x requests + slack")
+      .requiredOption("--ratio <number>", "retries for each request, such as 0.1")
+      .requiredOption("--slack <number>", "retries beyond that in a window, over all nodes")
+      .option("--service <name>", "for this service alone", "*"),
+  ).action(async (kind: string, options: Common & { readonly ratio: string; readonly slack: string; readonly service: string }) => {
+    const [ratio, slack] = [numberIn(options.ratio), numberIn(options.slack)];
+    if (ratio === undefined || slack === undefined) return finish(err({ code: 2, sentence: "--ratio and --slack must be numbers of 0 or more" }), String);
+    finish(await askAny(boxesOf(options), "POST", "/retries", JSON.stringify({ service: options.service, kind, ratio, slack })), () => "Written.");
+  });
+
+  const backends = station.command("backends").description("what adding or retiring backends would do");
+  query(
+    backends
+      .command("forecast")
+      .description("which share of each node's calls would move elsewhere; nothing is changed by asking")
+      .option("--add <service@cell[*n]...>", "backends to add")
+      .option("--retire <worker...>", "workers to retire")
+      .option("--by-route", "a row for each route")
+      .option("--by-node", "print the rows of each node too")
+      .option("--keep <file>", "keep the forecast in a file, for --check")
+      .option("--check <file>", "set a kept forecast beside what the nodes have seen since, a minute after the change"),
+  ).action(async (options: BackendsCall) => {
+    if (options.check !== undefined) return checkBackends(options, options.check);
+    const add = (options.add ?? []).map(readAdded);
+    const bad = add.findIndex((one) => one === undefined);
+    if (bad >= 0) return finish(err({ code: 2, sentence: `${cell(options.add?.[bad])} is not SERVICE@CELL or SERVICE@CELL*N` }), String);
+    const told = await askAny(boxesOf(options), "POST", "/backends/forecast", JSON.stringify({ add, retire: options.retire ?? [], byRoute: options.byRoute === true }));
+    const moves = told.isOk && isRec(told.value["moves"]) ? told.value["moves"] : {};
+    if (told.isOk && options.keep !== undefined) {
+      const kept = await keepFile(options.keep, moves);
+      if (kept.isErr) return finish(kept, String);
+    }
+    finish(told, () => (options.json === true ? JSON.stringify(moves, undefined, 2) : forecastText(moves, options.byNode === true)));
+  });
+
   const window = station.command("window").description("planned maintenance windows of cells");
   const windowRows = (told: Rec): readonly Rec[] => (isRec(told["windows"]) ? rowsOf(told["windows"]["windows"]) : []);
   common(
--- a/src/signalling/board.ts
+++ b/src/signalling/board.ts
@@ -68,3 +68,4 @@
 export const EJECTIONS_KEY = "ejections";
 export const FORECAST_KEY = "forecast";
 export const ROLLOUTS_KEY = "rollouts";
+export const RETRIES_KEY = "retries";
--- a/src/signalling/link.ts
+++ b/src/signalling/link.ts
@@ -1,5 +1,6 @@
 import Emittery from "emittery";
-import { rest, within, type Clock } from "../trackbed/clock.js";
+import { Asks } from "../trackbed/asks.js";
+import { rest, type Clock } from "../trackbed/clock.js";
 import { dial, type Message, type Wire, type WireTimes } from "../trackbed/wire.js";
 
 export interface LinkOptions {
@@ -21,11 +22,12 @@
   /** Invariant: `wire` is set exactly while greeting or standing. */
   private wire: Wire | undefined;
   private state: LinkState = "dialling";
-  private lastAsk = 0;
-  private readonly pending = new Map<number, (reply: Message | undefined) => void>();
+  private readonly asks: Asks;
   private stopping = false;
 
-  constructor(private readonly options: LinkOptions) {}
+  constructor(private readonly options: LinkOptions) {
+    this.asks = new Asks(options.clock);
+  }
 
   get stands(): boolean {
     return this.state === "standing";
@@ -46,12 +48,7 @@
 
   /** Resolves to the reply, or to undefined when the session ends or the wait is over first. */
   readonly ask = (message: Message, waitUs: number): Promise<Message | undefined> => {
-    if (!this.stands || !this.wire) return Promise.resolve(undefined);
-    this.lastAsk += 1;
-    const id = this.lastAsk;
-    const reply = new Promise<Message | undefined>((resolve) => this.pending.set(id, resolve));
-    this.wire.send({ ...message, ask: id });
-    return within(this.options.clock, waitUs, reply, undefined).finally(() => this.pending.delete(id));
+    return this.stands && this.wire ? this.asks.ask(this.wire.send, message, waitUs) : Promise.resolve(undefined);
   };
 
   private async *life(): AsyncGenerator<LinkState, void, undefined> {
@@ -64,9 +61,8 @@
         this.wire.send(hello());
         let greeted = false;
         for await (const message of this.wire.incoming()) {
-          if (typeof message["re"] === "number") {
-            this.pending.get(message["re"])?.(message);
-          } else if (!greeted) {
+          if (this.asks.settle(message)) continue;
+          if (!greeted) {
             greeted = true;
             yield "standing";
             void this.events.emit("up", message);
@@ -75,7 +71,7 @@
           }
         }
         yield "resting";
-        this.settle();
+        this.asks.drop();
         if (greeted) void this.events.emit("down");
       }
       this.wire?.close();
@@ -86,9 +82,4 @@
     }
     yield "stopped";
   }
-
-  private readonly settle = (): void => {
-    this.pending.forEach((resolve) => resolve(undefined));
-    this.pending.clear();
-  };
 }
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -1,4 +1,5 @@
 import Emittery from "emittery";
+import { Asks } from "../trackbed/asks.js";
 import type { Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { asRec, list, text, whole, type Rec } from "../trackbed/shape.js";
@@ -24,10 +25,18 @@
 interface Session {
   readonly node: Node;
   readonly wire: Wire;
+  readonly asks: Asks;
   /** The relay that feeds this node; empty when the signalbox feeds it itself. */
   parent: string;
 }
 
+/** What one node answered, or undefined where it didn't in time. */
+export interface NodeAnswer {
+  readonly node: string;
+  readonly cell: string;
+  readonly answer: Rec | undefined;
+}
+
 /** How many children one node of the relay tree feeds at most. */
 export const FAN_OUT = 4;
 
@@ -67,7 +76,7 @@
       wire.send({ kind: "adrift", boxes: this.options.boxes() });
       return;
     }
-    const session: Session = { node, wire, parent: "" };
+    const session: Session = { node, wire, asks: new Asks(this.options.clock), parent: "" };
     this.own.get(node.name)?.wire.close();
     this.own.set(node.name, session);
     this.options.log.info(`${node.name} joined.`);
@@ -75,11 +84,13 @@
     this.assign(session, "");
     void this.events.emit("own");
     for await (const message of incoming) {
+      if (session.asks.settle(message)) continue;
       if (typeof message["ask"] === "number") void this.answerNode(session, message, message["ask"]);
       else if (message.kind === "lost-news") this.assign(session, text(message, "parent"));
       else void this.events.emit("report", { ...message, node: node.name });
     }
     this.options.feeder.release(wire);
+    session.asks.drop();
     if (this.own.get(node.name) !== session) return;
     this.own.delete(node.name);
     this.options.log.info(`${node.name} left.`);
@@ -101,6 +112,10 @@
 
   readonly tellBoxes = (): void => this.own.forEach((session) => session.wire.send({ kind: "boxes", boxes: this.options.boxes() }));
 
+  /** Asks every node with a session here; who doesn't answer in time is named without an answer. */
+  readonly askAll = (question: Message, waitUs: number): Promise<readonly NodeAnswer[]> =>
+    Promise.all([...this.own.values()].map(async ({ node, wire, asks }) => ({ node: node.name, cell: node.cell, answer: await asks.ask(wire.send, question, waitUs) })));
+
   readonly pack = (): Message => ({ kind: "sessions", nodes: [...this.own.values()].map((session) => ({ ...session.node })) });
 
   readonly hear = (from: string, message: Message): void => {
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -1,4 +1,5 @@
 import Emittery from "emittery";
+import { Asks } from "../trackbed/asks.js";
 import { rest, within, type Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { splitAddress } from "../trackbed/settings.js";
@@ -21,6 +22,8 @@
   readonly times: WireTimes;
   readonly board: Board;
   readonly log: Log;
+  /** Answers what a signalbox asks this node. */
+  readonly answer?: (question: Message) => Message | undefined;
 }
 
 export type SessionState = "looking" | "greeting" | "standing";
@@ -42,10 +45,11 @@
   private parent = "";
   private tried = new Map<string, number>();
   private stopping = false;
-  private lastAsk = 0;
-  private readonly pending = new Map<number, (reply: Message | undefined) => void>();
+  private readonly asks: Asks;
 
-  constructor(private readonly options: TakerOptions) {}
+  constructor(private readonly options: TakerOptions) {
+    this.asks = new Asks(options.clock);
+  }
 
   /** Whether the news comes in, so that children may be fed. */
   get isFed(): boolean {
@@ -68,12 +72,7 @@
 
   /** Asks the signalbox; undefined when the session ends or the wait is over first. */
   readonly ask = (message: Message, waitUs: number): Promise<Message | undefined> => {
-    if (this.state !== "standing" || !this.wire) return Promise.resolve(undefined);
-    this.lastAsk += 1;
-    const id = this.lastAsk;
-    const reply = new Promise<Message | undefined>((resolve) => this.pending.set(id, resolve));
-    this.wire.send({ ...message, ask: id });
-    return within(this.options.clock, waitUs, reply, undefined).finally(() => this.pending.delete(id));
+    return this.state === "standing" && this.wire ? this.asks.ask(this.wire.send, message, waitUs) : Promise.resolve(undefined);
   };
 
   private async *life(): AsyncGenerator<SessionState, void, undefined> {
@@ -100,8 +99,7 @@
         }
         wire.close();
         this.wire = undefined;
-        this.pending.forEach((resolve) => resolve(undefined));
-        this.pending.clear();
+        this.asks.drop();
         yield "looking";
         this.sayUnfed();
       }
@@ -130,7 +128,8 @@
   };
 
   private readonly take = (message: Message): void => {
-    if (typeof message["re"] === "number") return this.pending.get(message["re"])?.(message);
+    if (this.asks.settle(message)) return;
+    if (typeof message["ask"] === "number") return this.report({ ...(this.options.answer?.(message) ?? { kind: "unknown" }), re: message["ask"] });
     switch (message.kind) {
       case "boxes":
         return this.learnBoxes(message);
--- /dev/null
+++ b/src/traction/call-counts.ts
@@ -0,0 +1,58 @@
+import type { Clock } from "../trackbed/clock.js";
+import { SECOND } from "../trackbed/span.js";
+
+export interface CallCount {
+  readonly service: string;
+  readonly kind: string;
+  readonly route: string;
+  readonly worker: string;
+  readonly count: number;
+}
+
+interface Slot {
+  readonly sinceUs: number;
+  readonly counts: Map<string, number>;
+}
+
+export const CALLS_WINDOW_US = 60 * SECOND;
+const SLOTS = 6;
+
+/** What this node has lately sent to each worker, by service, kind and route. Invariant: nothing older than a window and a slot is held. */
+export class CallCounts {
+  private slots: Slot[] = [];
+  private readonly sinceUs: number;
+
+  constructor(private readonly clock: Clock) {
+    this.sinceUs = clock.nowUs();
+  }
+
+  readonly count = (service: string, kind: string, route: string, worker: string): void => {
+    const { counts } = this.slot();
+    const key = `${service}\n${kind}\n${route}\n${worker}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  };
+
+  /** The calls of a service, and over which span they were counted. */
+  readonly of = (service: string): { readonly spanUs: number; readonly counts: readonly CallCount[] } => {
+    this.slot();
+    const sums = new Map<string, number>();
+    this.slots.forEach(({ counts }) => counts.forEach((count, key) => {
+      if (key.startsWith(`${service}\n`)) sums.set(key, (sums.get(key) ?? 0) + count);
+    }));
+    const counts = [...sums].map(([key, count]) => {
+      const [, kind = "", route = "", worker = ""] = key.split("\n");
+      return { service, kind, route, worker, count };
+    });
+    return { spanUs: this.clock.nowUs() - Math.max(this.sinceUs, this.slots[0]?.sinceUs ?? 0), counts };
+  };
+
+  private readonly slot = (): Slot => {
+    const nowUs = this.clock.nowUs();
+    this.slots = this.slots.filter(({ sinceUs }) => nowUs - sinceUs < CALLS_WINDOW_US);
+    const last = this.slots[this.slots.length - 1];
+    if (last && nowUs - last.sinceUs < CALLS_WINDOW_US / SLOTS) return last;
+    const slot = { sinceUs: nowUs, counts: new Map<string, number>() };
+    this.slots.push(slot);
+    return slot;
+  };
+}
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -4,6 +4,7 @@
 import { rest, within, type Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { OUTCOMES, type OutcomeName } from "../trackbed/outcomes.js";
+import { kindOf } from "../trackbed/retry-limits.js";
 import { splitAddress } from "../trackbed/settings.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import { WorkerCall, type Answer, type CallVerdict, type Calling } from "./call.js";
@@ -18,7 +19,7 @@
 import { Stage } from "./stage.js";
 import type { Line, Trip } from "./trip.js";
 import type { Worker, Yard } from "./yard.js";
-import type { Allowance } from "./allowance.js";
+import type { RetryBudgets } from "./retry-budget.js";
 
 export interface FrontOptions {
   readonly clock: Clock;
@@ -28,12 +29,14 @@
   readonly roomBytes: number;
   readonly table: RouteTable;
   readonly yard: Yard;
-  readonly allowanceOf: (service: string) => Allowance;
+  readonly budgets: RetryBudgets;
   readonly connectionShare: (service: string) => number;
   readonly countFault: (worker: string, isFault: boolean) => void;
   readonly tally: (route: string, kind: string, outcome: string) => void;
   /** Counts an outcome of a route that sends to more than one service. */
   readonly countRollout: (route: Route, service: string, stratum: string, outcome: RolloutOutcome) => void;
+  /** Counts what is sent to each worker, for the forecast of what would move. */
+  readonly countCall?: (service: string, kind: string, route: string, worker: string) => void;
   readonly random: () => number;
   /** Counts what arrives and is answered, for the forecast. */
   readonly usage?: { readonly arrived: (service: string) => void; readonly refused: (service: string) => void; readonly answered: (service: string, cell: string, tookUs: number) => void };
@@ -54,6 +57,8 @@
 const SILENCE_CHECK_US = 120 * MS;
 const CLAIM_PART = 5;
 const KEEP_PART = 0.5;
+/** How many workers that can't be reached a request looks for beyond its tries. */
+const MOST_UNREACHED = 2;
 const MOST_KEY = 200;
 /** Caches fill at the origin's rate: who comes back at once after a refusal for it finds the same. */
 const RATE_REST_US = 1 * SECOND;
@@ -224,7 +229,7 @@
 
   /** Route: the longest prefix of the host, and by its shares a service. */
   private readonly direct = (trip: Trip): void => {
-    const { table, random, allowanceOf } = this.options;
+    const { table, random, budgets } = this.options;
     if (trip.over) return;
     if (!table.isHeld) return this.refuse(trip, "noPlan");
     const host = (trip.req.headers.host ?? "").toLowerCase().replace(/:\d+$/, "");
@@ -239,7 +244,7 @@
       void this.give(trip, route, goods, host);
       return;
     }
-    allowanceOf(trip.service).count();
+    budgets.of(trip.service, kindOf(route.kind)).count();
     this.options.usage?.arrived(trip.service);
     if (!this.carrying.offer(trip)) this.refuse(trip, "full");
   };
@@ -308,7 +313,7 @@
 
   /** Gate, choose and call, again where that is allowed, and at the end the one answer. */
   private readonly carry = async (trip: Trip): Promise<void> => {
-    const { clock, allowanceOf } = this.options;
+    const { clock, budgets } = this.options;
     const { route } = trip;
     if (!route) return;
     if (!route.isSafe) await trip.prior;
@@ -317,8 +322,8 @@
     if (route.kind === "keyed" && !(await this.claim(trip, route))) return;
     if (this.options.goods && (this.options.table.service(trip.service)?.ratePerS ?? 0) > 0 && !(await this.options.goods.permit(trip.service))) return this.refuse(trip, "noRate");
     let lastAnswer: Answer | undefined;
-    while (!trip.over && !trip.line.closing) {
-      if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && !this.isPressed(trip, route) && allowanceOf(trip.service).spend())) break;
+    while (!trip.over && !trip.line.closing && trip.tried.size < route.tries + MOST_UNREACHED) {
+      if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && !this.isPressed(trip, route) && budgets.of(trip.service, kindOf(route.kind)).spend())) break;
       const worker = await this.gate.pass(trip, this.gateWaitUs(trip, route));
       if (trip.over || !worker) break;
       if (this.wouldBeLate(trip, route, worker)) break;
@@ -338,7 +343,7 @@
 
   /** Calls one worker; a safe request whose worker has fallen silent is sent to a second one beside it. */
   private readonly call = async (trip: Trip, route: Route, worker: Worker): Promise<CallVerdict> => {
-    const { clock, allowanceOf } = this.options;
+    const { clock, budgets } = this.options;
     const first = this.start(trip, worker);
     if (!route.isSafe) return first.verdict;
     for (;;) {
@@ -347,7 +352,7 @@
       if (trip.over) return { kind: "cancelled" };
       if (!worker.isSilent() || this.isPressed(trip, route) || trip.sends >= route.tries || !isHeldBody(trip)) continue;
       const other = this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0);
-      if (!other || !allowanceOf(trip.service).spend()) continue;
+      if (!other || !budgets.of(trip.service, kindOf(route.kind)).spend()) continue;
       const second = this.start(trip, other);
       const [quick, slow] = await Promise.race([first.verdict.then(() => [first, second] as const), second.verdict.then(() => [second, first] as const)]);
       const verdict = await quick.verdict;
@@ -378,6 +383,7 @@
     if (trip.sends === 0) trip.stratum = `${worker.cell === this.options.cell ? "near" : "far"}|${clock.nowUs() < worker.warmUntilUs ? "cold" : "warm"}`;
     trip.tried.add(worker.id);
     trip.sends += 1;
+    if (trip.route) this.options.countCall?.(trip.service, trip.route.kind, trip.route.name, worker.id);
     trip.calls.add(call);
     void call.verdict.then((verdict) => {
       trip.calls.delete(call);
@@ -388,7 +394,11 @@
         worker.shun();
       }
       const isOut = verdict.kind === "not-run" && (verdict.why === "unreachable" || verdict.why === "refused");
-      if (isOut) worker.shun();
+      if (isOut) {
+        worker.shun();
+        // Nothing of it arrived anywhere, so what is sent next is no retry.
+        trip.sends -= 1;
+      }
       if (verdict.kind === "not-run" && verdict.why === "unreachable") trip.linkMishap = true;
       if (verdict.kind === "not-run" && verdict.why === "other-worker") this.options.yard.misdirected(worker);
       if (verdict.kind !== "cancelled") countFault(worker.id, verdict.kind === "lost" || isOut);
--- /dev/null
+++ b/src/traction/move-forecast.ts
@@ -0,0 +1,192 @@
+import { mean, probit, sampleStandardDeviation } from "simple-statistics";
+import type { CallCount } from "./call-counts.js";
+import { subsetOf, type NodeCount, type Placed, type Subset } from "./subset.js";
+
+/** What the planners ask about: backends added, by service and cell, and workers retired. */
+export interface BackendChange {
+  readonly add: readonly { readonly service: string; readonly cell: string; readonly count: number }[];
+  readonly retire: readonly string[];
+  readonly byRoute: boolean;
+}
+
+export interface MoveQuestion {
+  readonly node: string;
+  readonly cell: string;
+  readonly nodes: NodeCount;
+  readonly service: string;
+  /** The ready workers of the service. */
+  readonly workers: readonly Placed[];
+  readonly calls: readonly CallCount[];
+  readonly spanUs: number;
+  readonly change: BackendChange;
+}
+
+/** What would move of one node's calls of one kind (and route) to one service. */
+export interface MoveRow {
+  readonly service: string;
+  readonly kind: string;
+  readonly route: string;
+  /** The calls that the shares are taken from, and their rate. */
+  readonly calls: number;
+  readonly perS: number;
+  /** The share of calls that would go elsewhere, and the band that the share seen lies in, as often as CONFIDENCE says. */
+  readonly moved: number;
+  readonly low: number;
+  readonly high: number;
+  /** The share at workers that would leave the subset, and the one that workers new to it would get. */
+  readonly leave: number;
+  readonly join: number;
+  readonly joinLow: number;
+  readonly joinHigh: number;
+  /** The share of all calls that would go to each cell afterwards. */
+  readonly toCells: Readonly<Record<string, number>>;
+  readonly leavers: readonly string[];
+  readonly newConnections: number;
+  /** The moved share for each assumed set of names of the workers to come, alike over all nodes. */
+  readonly draws: readonly number[];
+}
+
+export interface LoadRow {
+  readonly worker: string;
+  readonly perSNow: number;
+  readonly perSThen: number;
+}
+
+export interface MoveForecast {
+  readonly rows: readonly MoveRow[];
+  /** The workers that the node sends to now. */
+  readonly subset: readonly string[];
+  readonly loads: readonly LoadRow[];
+}
+
+export const CONFIDENCE = 0.9;
+/** With fewer calls than this no share is told. */
+export const LEAST_CALLS = 30;
+/** A worker that is to come has no name yet, and its name decides whose subset it joins: so many are tried. */
+export const DRAWS = 16;
+/** Calls are not independent: load-aware choosing follows workers that are quick or slow for a while (measured in moves.feature). */
+const OVERDISPERSION = 6;
+
+/** How unevenly a service's workers share its calls over the whole fleet. */
+export const unevennessOf = (perWorker: readonly number[]): number => (perWorker.length < 2 ? 0 : sampleStandardDeviation(perWorker) / Math.max(1e-9, mean(perWorker)));
+
+const groupsOf = (subset: Subset<Placed>): readonly (readonly Placed[])[] => [subset.near, subset.far];
+const idsOf = (workers: readonly Placed[]): ReadonlySet<string> => new Set(workers.map(({ id }) => id));
+
+interface Shift {
+  readonly moved: number;
+  readonly leave: number;
+  readonly join: number;
+  /** How unevenly the group's workers share its calls now, as standard deviation over mean. */
+  readonly unevenness: number;
+  readonly leavers: readonly string[];
+  readonly joiners: number;
+  /** The share of calls of each worker afterwards. */
+  readonly after: ReadonlyMap<string, number>;
+}
+
+/**
+ * Within each of near and far, newcomers get an equal part of the group's calls, and those who stay share the rest as
+ * before. What moves is what was pinned to leavers; where backends are added, what newcomers draw may be more.
+ */
+const shiftOf = (before: Subset<Placed>, after: Subset<Placed>, shareOf: (id: string) => number, isAdding: boolean): Shift => {
+  let [moved, leave, join, joiners] = [0, 0, 0, 0];
+  const unevenness = unevennessOf(before.near.map(({ id }) => shareOf(id)));
+  const leavers: string[] = [];
+  const then = new Map<string, number>();
+  groupsOf(before).forEach((group, at) => {
+    const next = groupsOf(after)[at] ?? [];
+    const [was, is] = [idsOf(group), idsOf(next)];
+    const total = group.reduce((sum, { id }) => sum + shareOf(id), 0);
+    const gone = group.filter(({ id }) => !is.has(id));
+    const come = next.filter(({ id }) => !was.has(id));
+    const goneShare = gone.reduce((sum, { id }) => sum + shareOf(id), 0);
+    const comeShare = next.length === 0 ? 0 : (total * come.length) / next.length;
+    moved += isAdding ? Math.max(goneShare, comeShare) : goneShare;
+    leave += goneShare;
+    join += comeShare;
+    joiners += come.length;
+    leavers.push(...gone.map(({ id }) => id));
+    const stay = next.filter(({ id }) => was.has(id));
+    const scale = total - goneShare > 0 ? (total - comeShare) / (total - goneShare) : 0;
+    stay.forEach(({ id }) => then.set(id, scale > 0 ? shareOf(id) * scale : (total - comeShare) / stay.length));
+    come.forEach(({ id }) => then.set(id, total / next.length));
+  });
+  return { moved, leave, join, unevenness, leavers, joiners, after: then };
+};
+
+/** Half of the band of a share that is taken from some calls and will be seen in as many. */
+export const bandOf = (share: number, calls: number): number => {
+  const z = probit((1 + CONFIDENCE) / 2);
+  const smoothed = (share * calls + 1) / (calls + 2);
+  return z * Math.sqrt((OVERDISPERSION * 2 * smoothed * (1 - smoothed)) / Math.max(1, calls));
+};
+
+/** The band of what newcomers would get: nobody knows yet how quick they are, so they may differ as workers now do. */
+export const joinBandOf = (join: number, calls: number, unevenness: number): number => {
+  const z = probit((1 + CONFIDENCE) / 2);
+  return Math.hypot(bandOf(join, calls), z * unevenness * join);
+};
+
+const sumBy = (calls: readonly CallCount[], keyOf: (call: CallCount) => string): ReadonlyMap<string, number> => {
+  const sums = new Map<string, number>();
+  calls.forEach((call) => sums.set(keyOf(call), (sums.get(keyOf(call)) ?? 0) + call.count));
+  return sums;
+};
+
+/**
+ * The forecast of one node for one service. A query: it changes nothing, draws no random number, and calls the same
+ * function that choosing goes by.
+ */
+export const forecastMoves = ({ node, cell, nodes, service, workers, calls, spanUs, change }: MoveQuestion): MoveForecast => {
+  const stay = workers.filter(({ id }) => !change.retire.includes(id));
+  const added = change.add.filter((one) => one.service === service);
+  const before = subsetOf(node, cell, workers, nodes);
+  const afterOf = (draw: number): Subset<Placed> =>
+    subsetOf(node, cell, [...stay, ...added.flatMap((one, at) => Array.from({ length: one.count }, (_none, each) => ({ id: `to-come-${draw}-${at}-${each}`, cell: one.cell })))], nodes);
+  const afters = Array.from({ length: added.length > 0 ? DRAWS : 1 }, (_none, draw) => afterOf(draw));
+  const cellOf = new Map(workers.map((worker) => [worker.id, worker.cell]));
+  const groups = sumBy(calls, (call) => (change.byRoute ? `${call.kind}\n${call.route}` : `${call.kind}\n`));
+  const rows = [...groups].map(([key, total]): MoveRow => {
+    const [kind = "", route = ""] = key.split("\n");
+    const own = calls.filter((call) => call.kind === kind && (!change.byRoute || call.route === route));
+    const byWorker = sumBy(own, ({ worker }) => worker);
+    const shifts = afters.map((after) => shiftOf(before, after, (id) => (byWorker.get(id) ?? 0) / total, added.length > 0));
+    const draws = shifts.map(({ moved }) => moved);
+    const moved = mean(draws);
+    const unevenness = shifts[0]?.unevenness ?? 0;
+    const joinBand = (share: number) => joinBandOf(share, total, unevenness);
+    const band = (share: number) => (added.length > 0 ? joinBand(share) : bandOf(share, total));
+    const toCells: Record<string, number> = {};
+    shifts.forEach(({ after }) => after.forEach((share, id) => {
+      const at = cellOf.get(id) ?? added.find((one, place) => id.split("-")[3] === String(place) && one.cell !== "")?.cell ?? "";
+      toCells[at] = (toCells[at] ?? 0) + share / shifts.length;
+    }));
+    return {
+      service,
+      kind,
+      route,
+      calls: total,
+      perS: (total / Math.max(1, spanUs)) * 1_000_000,
+      moved,
+      low: Math.max(0, Math.min(...draws.map((share) => share - band(share)))),
+      high: Math.min(1, Math.max(...draws.map((share) => share + band(share)))),
+      leave: mean(shifts.map(({ leave }) => leave)),
+      join: mean(shifts.map(({ join }) => join)),
+      joinLow: Math.max(0, Math.min(...shifts.map(({ join }) => join - joinBand(join)))),
+      joinHigh: Math.min(1, Math.max(...shifts.map(({ join }) => join + joinBand(join)))),
+      toCells,
+      leavers: [...new Set(shifts.flatMap(({ leavers }) => leavers))],
+      newConnections: mean(shifts.map(({ joiners }) => joiners)),
+      draws,
+    };
+  });
+  const total = calls.reduce((sum, { count }) => sum + count, 0);
+  const byWorker = sumBy(calls, ({ worker }) => worker);
+  const perS = (total / Math.max(1, spanUs)) * 1_000_000;
+  const shifts = total === 0 ? [] : afters.map((after) => shiftOf(before, after, (id) => (byWorker.get(id) ?? 0) / total, added.length > 0));
+  const loads = workers
+    .map(({ id }) => ({ worker: id, perSNow: ((byWorker.get(id) ?? 0) / Math.max(1, spanUs)) * 1_000_000, perSThen: shifts.length === 0 ? 0 : mean(shifts.map(({ after }) => after.get(id) ?? 0)) * perS }))
+    .filter(({ perSNow, perSThen }) => perSNow > 0 || perSThen > 0);
+  return { rows, subset: groupsOf(before).flat().map(({ id }) => id), loads };
+};
--- a/src/traction/yard.ts
+++ b/src/traction/yard.ts
@@ -114,7 +114,7 @@
 
   private readonly remembered = (): number => this.learned * Math.exp((this.learnedUs - this.clock.nowUs()) / FORGET_US);
 
-  private readonly meanUs = (): number => {
+  readonly meanUs = (): number => {
     const calls = this.remembered();
     return (this.typicalUs * calls + this.mean.usuallyUs * PRIOR_CALLS) / (calls + PRIOR_CALLS);
   };
@@ -224,11 +224,20 @@
 
   readonly of = (service: string): readonly Worker[] => this.byService.get(service) ?? [];
 
+  readonly ready = (service: string): readonly Worker[] => this.of(service).filter(({ state }) => state === "ready");
+
+  get nodeCount(): NodeCount {
+    return this.nodes;
+  }
+
+  /** How long calls to a worker take, by what this node has seen. */
+  readonly tookUs = (id: string): number => this.workers.get(id)?.meanUs() ?? 0;
+
   /** The ready workers of a service that this node sends to. */
   readonly subset = (service: string): Subset<Worker> => {
     const known = this.subsets.get(service);
     if (known) return known;
-    const made = subsetOf(this.node, this.cell, this.of(service).filter(({ state }) => state === "ready"), this.nodes);
+    const made = subsetOf(this.node, this.cell, this.ready(service), this.nodes);
     this.subsets.set(service, made);
     return made;
   };
