--- /dev/null
+++ b/features/steps/testtrack.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
+import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Then, When } from "@cucumber/cucumber";
+import { asRec, list, parseJson, whole, type Rec } from "../../src/trackbed/shape.js";
+
+let results: readonly Rec[] = [];
+let code = 0;
+let said = "";
+
+const run = (args: readonly string[]): Promise<void> =>
+  new Promise((resolve) => {
+    execFile(process.execPath, ["target/track/testtrack/run.js", ...args], (mishap, _out, errors) => {
+      code = mishap && typeof mishap.code === "number" ? mishap.code : 0;
+      said = errors;
+      resolve();
+    });
+  });
+
+When("the test track runs {int} and {int} hollow nodes before {int} signalboxes", { timeout: 90_000 }, async (small: number, large: number, boxes: number) => {
+  const folder = await mkdtemp(join(tmpdir(), "yewreel-track-"));
+  const out = join(folder, "result.json");
+  const sizes = `--boxes ${boxes} --hosts 2 --workers 6 --routes 10 --services 2 --seconds 3 --settle 2`;
+  await run(["nodes", String(small), String(large), ...sizes.split(" "), "--out", out]);
+  results = list(asRec(parseJson(await readFile(out, "utf8"))), "results", (value) => asRec(value));
+  await rm(folder, { recursive: true });
+});
+const nodesOf = (result: Rec): number => whole(asRec(result["size"]), "nodes");
+const framesOf = (result: Rec, phase: string, who: string, kind?: string): number =>
+  Object.entries(asRec(asRec(asRec(result[phase])[who])["sent"])).reduce((sum, [name, counts]) => (kind === undefined || kind === name ? sum + whole(asRec(counts), "frames") : sum), 0);
+
+Then("no size failed", () => assert.deepEqual(results.map((result) => result["failed"]), [undefined, undefined]));
+Then("one change makes one news frame for each node at either size", () => {
+  results.forEach((result) => assert.equal(framesOf(result, "change", "boxes", "news") + framesOf(result, "change", "nodes", "news"), nodesOf(result)));
+});
+Then("a node at rest sends the same number of frames a second at either size, give or take a third", () => {
+  const [small, large] = results.map((result) => framesOf(result, "atRest", "nodes") / nodesOf(result));
+  assert.ok(small !== undefined && large !== undefined && Math.abs(large - small) <= small / 3, `${small} and ${large}`);
+});
+When(/^the test track is asked for (.+)$/, (args: string) => run(args.split(" ")));
+Then("it ends with code {int} and one line that names {string}", (wanted: number, what: string) => {
+  assert.equal(code, wanted);
+  assert.ok(said.trim().split("\n").length === 1 && said.includes(what), said);
+});
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -56,6 +56,11 @@
     return this.parent === "" ? this.state === "standing" : this.relayWire !== undefined;
   }
 
+  /** Whether a session with a signalbox stands. */
+  get isStanding(): boolean {
+    return this.state === "standing";
+  }
+
   readonly run = async (): Promise<void> => {
     for await (const state of this.life()) this.state = state;
   };
--- a/src/trackbed/wire.ts
+++ b/src/trackbed/wire.ts
@@ -23,6 +23,16 @@
   return value;
 };
 
+/** Frames and bytes that this process has sent, by kind of message, since its start. */
+export const sentFrames = new Map<string, { frames: number; bytes: number }>();
+const countSent = (kind: string, bytes: number): void => {
+  const known = sentFrames.get(kind);
+  if (known) {
+    known.frames += 1;
+    known.bytes += bytes;
+  } else sentFrames.set(kind, { frames: 1, bytes });
+};
+
 const asMessage = (value: unknown): Message => {
   const rec = asRec(value, "message");
   const { kind } = rec;
@@ -78,6 +88,7 @@
   readonly send = (message: Message): void => {
     if (this.closed) return;
     const frame = frameOf(message);
+    countSent(message.kind, frame.length);
     this.sentUs = this.clock.nowUs();
     this.gather();
     this.socket.write(frame);
--- /dev/null
+++ b/testtrack/host.ts
@@ -0,0 +1,162 @@
+import { Agent, request } from "node:http";
+import { UsageCounts } from "../src/inspection/usage-counts.js";
+import { joinNews, type Member } from "../src/programs/member.js";
+import { runPointsman } from "../src/programs/pointsman.js";
+import { runSignalbox } from "../src/programs/signalbox.js";
+import { PLAN_PREFIX, WORKER_PREFIX } from "../src/signalling/board.js";
+import { SteadyClock, type Pulse } from "../src/trackbed/clock.js";
+import { setLogLevel } from "../src/trackbed/log.js";
+import { asRec, list, numberOf, text, whole, type Rec } from "../src/trackbed/shape.js";
+import { MS, SECOND } from "../src/trackbed/span.js";
+import { sentFrames } from "../src/trackbed/wire.js";
+import { boxAddress, machineUs, nodeIp, settingsOf } from "./place.js";
+
+/** One process of a run: a signalbox, many hollow nodes, many hollow workers, or one real pointsman. Told what to do by its parent. */
+setLogLevel("silent");
+const clock = new SteadyClock();
+
+const measure = (): Rec => {
+  const { user, system } = process.cpuUsage();
+  const { rss, heapUsed } = process.memoryUsage();
+  return { atUs: machineUs(), cpuUs: user + system, rssMb: rss / 2 ** 20, heapMb: heapUsed / 2 ** 20, sent: Object.fromEntries([...sentFrames].map(([kind, counts]) => [kind, { ...counts }])) };
+};
+
+// --- hollow nodes: the real session, relay, news and report code, without a front -------------------------------------
+
+interface Hollow {
+  readonly at: number;
+  member: Member;
+  report: Pulse;
+  items: number;
+  workers: number;
+  mark: number;
+  markUs: number;
+}
+
+const MARK = `${PLAN_PREFIX}route/mark`;
+const hollows = new Map<number, Hollow>();
+let cells = 1;
+let boxes = 1;
+let services = 1;
+
+const startHollow = async (at: number): Promise<void> => {
+  const settings = settingsOf(`node-${at}`, nodeIp(at), `c${at % cells}`, boxes, "");
+  const member = joinNews(settings, clock, "pointsman");
+  const usage = new UsageCounts(`${at}-${machineUs()}`);
+  const report = clock.every(2 * SECOND, () => {
+    for (let service = 0; service < services; service += 1) {
+      usage.arrived(`s${service}`);
+      usage.answered(`s${service}`, settings.cell, 100 * MS);
+    }
+    const message = usage.takeReport();
+    if (message) member.taker.report(message);
+  });
+  const hollow: Hollow = { at, member, report, items: 0, workers: 0, mark: 0, markUs: 0 };
+  hollows.set(at, hollow);
+  member.board.events.on("changed", (facts) => {
+    facts.forEach(({ key, version }) => {
+      if (key === MARK && version > hollow.mark) {
+        hollow.mark = version;
+        hollow.markUs = machineUs();
+      }
+    });
+    hollow.items = 0;
+    hollow.workers = 0;
+    member.board.all().forEach(({ key }) => {
+      if (key.startsWith(PLAN_PREFIX)) hollow.items += 1;
+      else if (key.startsWith(WORKER_PREFIX)) hollow.workers += 1;
+    });
+  });
+  await member.relay.listen(settings.ip, settings.relayPort);
+  void member.taker.run();
+};
+
+const stopHollow = (hollow: Hollow): void => {
+  hollow.report.stop();
+  hollow.member.taker.stop();
+  hollow.member.relay.close();
+  hollows.delete(hollow.at);
+};
+
+// --- hollow workers: their beats over HTTP, nothing else --------------------------------------------------------------
+
+const agent = new Agent({ keepAlive: true, maxSockets: 16 });
+let beatsTaken = 0;
+let beatsFailed = 0;
+const beat = (at: number, callCount: number): void => {
+  const body = JSON.stringify({ service: `s${at % services}`, address: `127.43.${Math.floor(at / 250)}.${(at % 250) + 1}:80`, zone: `c${at % cells}`, cell: `c${at % cells}`, version: "v1", capacity: 2, state: "ready", warmLeft: "0ms", callCount });
+  const call = request(`http://${boxAddress(at % boxes)}/workers/w-${at}/heartbeat`, { method: "POST", agent, timeout: SECOND / MS, headers: { "Content-Length": Buffer.byteLength(body) } }, (response) => {
+    response.resume();
+    if (response.statusCode === 200) beatsTaken += 1;
+    else beatsFailed += 1;
+  });
+  call.on("timeout", () => call.destroy());
+  call.on("error", () => (beatsFailed += 1));
+  call.end(body);
+};
+const startWorkers = (from: number, count: number): void => {
+  for (let at = from; at < from + count; at += 1) {
+    let callCount = 0;
+    clock.after(((at - from) / count) * 1_500 * MS, () => {
+      const next = () => beat(at, (callCount += 1));
+      next();
+      clock.every(1_500 * MS, next);
+    });
+  }
+};
+
+// --- what the parent asks ----------------------------------------------------------------------------------------------
+
+const act = async (order: Rec): Promise<Rec> => {
+  switch (text(order, "what")) {
+    case "box": {
+      const [at, count] = [whole(order, "at"), whole(order, "boxes")];
+      await runSignalbox(settingsOf(`box-${at}`, boxAddress(at).split(":")[0] ?? "", `c${at}`, count, text(order, "folder")), clock);
+      return {};
+    }
+    case "node":
+      await runPointsman(settingsOf("node", nodeIp(0), "c0", whole(order, "boxes"), ""), clock);
+      return {};
+    case "nodes": {
+      [cells, boxes, services] = [whole(order, "cells"), whole(order, "boxes"), whole(order, "services")];
+      for (const at of list(order, "numbers", numberOf)) await startHollow(at);
+      return {};
+    }
+    case "workers":
+      [cells, boxes, services] = [whole(order, "cells"), whole(order, "boxes"), whole(order, "services")];
+      startWorkers(whole(order, "from"), whole(order, "count"));
+      return {};
+    case "restart": {
+      const chosen = [...hollows.values()].filter(({ at }) => at % whole(order, "every") === 0);
+      chosen.forEach(stopHollow);
+      for (const { at } of chosen) await startHollow(at);
+      return { restarted: chosen.length };
+    }
+    case "status": {
+      const all = [...hollows.values()];
+      return {
+        nodes: all.length,
+        fed: all.filter(({ member }) => member.taker.isFed).length,
+        standing: all.filter(({ member }) => member.taker.isStanding).length,
+        full: all.filter(({ items, workers }) => items >= whole(order, "items") && workers >= whole(order, "workers")).length,
+        marked: all.filter(({ mark }) => mark >= whole(order, "mark")).length,
+        lastMarkUs: Math.max(0, ...all.map(({ markUs }) => markUs)),
+        beatsTaken,
+        beatsFailed,
+      };
+    }
+    case "measure":
+      return measure();
+    default:
+      return {};
+  }
+};
+
+process.on("message", (value: unknown) => {
+  const order = asRec(value);
+  void act(order).then(
+    (reply) => process.send?.({ ...reply, re: order["ask"] }),
+    (mishap: unknown) => process.send?.({ mishap: String(mishap), re: order["ask"] }),
+  );
+});
+process.on("disconnect", () => process.exit(0));
--- /dev/null
+++ b/testtrack/place.ts
@@ -0,0 +1,60 @@
+import { splitAddress, type Settings } from "../src/trackbed/settings.js";
+import { MS, SECOND } from "../src/trackbed/span.js";
+
+export const SIGNAL_PORT = 17_500;
+export const RELAY_PORT = 17_501;
+export const CONTROL_PORT = 17_600;
+export const FRONT_PORT = 17_601;
+export const READY_PORT = 17_602;
+
+/** Each run has a part of the loopback range of its own, so that two don't meet; children have that of their parent. */
+const net = process.env["TESTTRACK_NET"] ?? String(60 + (process.pid % 150));
+process.env["TESTTRACK_NET"] = net;
+
+export const boxAddress = (at: number): string => `127.${net}.0.${at + 1}:${CONTROL_PORT}`;
+export const nodeIp = (at: number): string => `127.${net}.${Math.floor(at / 250) + 1}.${(at % 250) + 1}`;
+
+/** Settings of one program on loopback, with the bounds of a deployment of hundreds of machines. */
+export const settingsOf = (name: string, ip: string, cell: string, boxes: number, dataFolder: string): Settings => ({
+  name,
+  cell,
+  ip,
+  signalPort: SIGNAL_PORT,
+  relayPort: RELAY_PORT,
+  seedNodes: Array.from({ length: Math.min(3, boxes) }, (_none, at) => boxAddress(at)),
+  firstRun: true,
+  heartbeatUs: 1_500 * MS,
+  dataFolder,
+  deployment: "",
+  logLevel: "silent",
+  front: `${ip}:${FRONT_PORT}`,
+  ready: `${ip}:${READY_PORT}`,
+  control: `${ip}:${CONTROL_PORT}`,
+  memoryMb: 1_024,
+  fileHandles: 4_000,
+  diskMb: 64,
+  linkMbps: 0,
+  regions: new Map(),
+  withstandMachines: boxes >= 5 ? 2 : 1,
+  drainUs: 2_500 * MS,
+  graceUs: 2 * SECOND,
+  applyUs: 2_500 * MS,
+  contactUs: 4 * SECOND,
+  confirmUs: 4 * SECOND,
+  retryRatio: 0.2,
+  retryWindowUs: 10 * SECOND,
+  retrySlack: 440,
+  stretchUs: 6 * SECOND,
+  keyWindowUs: 60 * SECOND,
+  purgeUs: 2 * SECOND,
+  staleSlackUs: 2 * SECOND,
+  ceilingWindowUs: 5 * SECOND,
+  ceilingExcess: 1.1,
+  forecastActs: false,
+  rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
+});
+
+export const ipOf = (address: string): string => splitAddress(address).ip;
+
+/** The machine's own steady clock, the same in all its processes. */
+export const machineUs = (): number => Number(process.hrtime.bigint() / 1_000n);
--- /dev/null
+++ b/testtrack/run.ts
@@ -0,0 +1,255 @@
+import { fork, type ChildProcess } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { request } from "node:http";
+import { cpus, tmpdir, totalmem, loadavg } from "node:os";
+import { join } from "node:path";
+import { Command } from "commander";
+import { rest, SteadyClock } from "../src/trackbed/clock.js";
+import { asRec, isRec, numberOf, whole, type Rec } from "../src/trackbed/shape.js";
+import { MS, SECOND } from "../src/trackbed/span.js";
+import { boxAddress, machineUs } from "./place.js";
+
+/** What a run may take of the machine: half of its memory, and so many processes. */
+const MOST_PROCESSES = 300;
+const MOST_NODES = 10_000;
+const MOST_WORKERS = 30_000;
+const MEMORY_PART = 0.5;
+const CELLS = 7;
+
+const clock = new SteadyClock();
+
+/** One child process, asked over its channel. */
+class Host {
+  private readonly pending = new Map<number, (reply: Rec) => void>();
+  private last = 0;
+  readonly child: ChildProcess;
+
+  constructor(heapMb: number) {
+    this.child = fork(new URL("./host.js", import.meta.url), [], { execArgv: [`--max-old-space-size=${heapMb}`, "--max-semi-space-size=1"] });
+    this.child.on("message", (value: unknown) => {
+      const reply = asRec(value);
+      this.pending.get(numberOf(reply["re"]))?.(reply);
+    });
+    this.child.on("exit", () => this.pending.forEach((resolve) => resolve({ mishap: "it ended" })));
+  }
+
+  readonly ask = async (order: Rec): Promise<Rec> => {
+    this.last += 1;
+    const id = this.last;
+    const reply = await new Promise<Rec>((resolve) => {
+      this.pending.set(id, resolve);
+      this.child.send({ ...order, ask: id });
+    });
+    this.pending.delete(id);
+    if (typeof reply["mishap"] === "string") throw new Error(reply["mishap"]);
+    return reply;
+  };
+
+  readonly end = (): boolean => this.child.kill("SIGKILL");
+}
+
+const post = (address: string, path: string, body: string): Promise<number> =>
+  new Promise((resolve) => {
+    const call = request(`http://${address}${path}`, { method: "POST", timeout: 8_000, headers: { "Content-Length": Buffer.byteLength(body) } }, (response) => {
+      response.resume();
+      response.on("end", () => resolve(response.statusCode ?? 0));
+    });
+    call.on("timeout", () => call.destroy());
+    call.on("error", () => resolve(0));
+    call.end(body);
+  });
+
+const ruleOf = (name: string, version: number, service: string): Rec => ({
+  name,
+  routeKind: "safe",
+  target_time: "600ms",
+  rank: 1,
+  version,
+  matchOn: { pathStart: `/${name}/` },
+  then: { service, giveUp: "2000ms", tries: 2 },
+});
+
+export interface Size {
+  readonly nodes: number;
+  readonly workers: number;
+  readonly routes: number;
+  readonly services: number;
+  readonly boxes: number;
+  readonly hosts: number;
+  readonly seconds: number;
+  /** For how long nodes rest after joining before they are measured. */
+  readonly settle: number;
+}
+
+const planOf = (size: Size): string =>
+  JSON.stringify({
+    putItems: {
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerWait: "3000ms", idle: "15000ms", version: 1 },
+      listeners: [{ host: "track.example", rules: [ruleOf("mark", 1, "s0"), ...Array.from({ length: size.routes - 1 }, (_none, at) => ruleOf(`r-${at}`, 1, `s${at % size.services}`))] }],
+      groups: Array.from({ length: size.services }, (_none, at) => ({ name: `s${at}`, statusPath: "/health", maxConnections: 1_300, version: 1 })),
+    },
+    remove: { routes: [] },
+  });
+
+const until = async (what: string, isSo: () => Promise<boolean>, seconds = 90): Promise<number> => {
+  const fromUs = machineUs();
+  while (machineUs() - fromUs < seconds * SECOND) {
+    if (await isSo()) return machineUs() - fromUs;
+    await rest(clock, 50 * MS);
+  }
+  throw new Error(`after ${seconds} s it was still not so that ${what}`);
+};
+
+interface Sum {
+  readonly cpuUs: number;
+  readonly rssMb: number;
+  readonly heapMb: number;
+  readonly sent: Readonly<Record<string, { readonly frames: number; readonly bytes: number }>>;
+}
+
+const sentOf = (told: Rec): Map<string, { frames: number; bytes: number }> =>
+  new Map(Object.entries(asRec(told["sent"])).map(([kind, counts]) => [kind, { frames: whole(asRec(counts), "frames"), bytes: whole(asRec(counts), "bytes") }]));
+
+/** What processes did between two looks, all in all; memory as it is at the second. */
+const between = (before: readonly Rec[], after: readonly Rec[]): Sum => {
+  const sent: Record<string, { frames: number; bytes: number }> = {};
+  let cpuUs = 0;
+  after.forEach((now, at) => {
+    const was = before[at];
+    cpuUs += whole(now, "cpuUs") - (was ? whole(was, "cpuUs") : 0);
+    const earlier = was ? sentOf(was) : new Map<string, { frames: number; bytes: number }>();
+    sentOf(now).forEach(({ frames, bytes }, kind) => {
+      const sum = sent[kind] ?? { frames: 0, bytes: 0 };
+      const rise = { frames: sum.frames + frames - (earlier.get(kind)?.frames ?? 0), bytes: sum.bytes + bytes - (earlier.get(kind)?.bytes ?? 0) };
+      if (rise.frames > 0) sent[kind] = rise;
+    });
+  });
+  const most = (field: string) => Math.max(...after.map((now) => whole(now, field)));
+  return { cpuUs, rssMb: most("rssMb"), heapMb: most("heapMb"), sent };
+};
+
+/** One size: start, settle, measure at rest, time one change, restart a seventh of the nodes, kill a signalbox. */
+export const runSize = async (size: Size): Promise<Rec> => {
+  const folder = await mkdtemp(join(tmpdir(), "testtrack-"));
+  const boxes = Array.from({ length: size.boxes }, () => new Host(700));
+  const hosts = Array.from({ length: size.hosts }, () => new Host(1_800));
+  const workers = Array.from({ length: size.workers > 0 ? Math.ceil(size.workers / 2_000) : 0 }, () => new Host(500));
+  try {
+    await Promise.all(boxes.map((box, at) => box.ask({ what: "box", at, boxes: size.boxes, folder: join(folder, String(at)) })));
+    await until("the plan is taken", async () => (await post(boxAddress(0), "/plan/change", planOf(size))) === 200);
+    const place = { cells: Math.min(CELLS, size.boxes), boxes: size.boxes, services: size.services };
+    const each = Math.ceil(size.workers / Math.max(1, workers.length));
+    await Promise.all(workers.map((host, at) => host.ask({ what: "workers", from: at * each, count: Math.min(each, size.workers - at * each), ...place })));
+    const numbers = Array.from({ length: size.nodes }, (_none, at) => at);
+    await Promise.all(hosts.map((host, at) => host.ask({ what: "nodes", numbers: numbers.filter((number) => number % size.hosts === at), ...place })));
+    const wanted = { items: size.routes + size.services + 1, workers: size.workers };
+    const status = async (mark: number): Promise<{ readonly full: number; readonly marked: number; readonly standing: number; readonly lastMarkUs: number }> => {
+      const told = await Promise.all(hosts.map((host) => host.ask({ what: "status", mark, ...wanted })));
+      const sum = (field: string) => told.reduce((total, one) => total + whole(one, field), 0);
+      return { full: sum("full"), marked: sum("marked"), standing: sum("standing"), lastMarkUs: Math.max(...told.map((one) => whole(one, "lastMarkUs"))) };
+    };
+    const joinedUs = await until("every node has all news", async () => (await status(0)).full === size.nodes, 180);
+    await rest(clock, size.settle * SECOND);
+
+    const look = (of: readonly Host[]) => Promise.all(of.map((host) => host.ask({ what: "measure" })));
+    const [boxesBefore, hostsBefore] = [await look(boxes), await look(hosts)];
+    await rest(clock, size.seconds * SECOND);
+    const [boxesRest, hostsRest] = [await look(boxes), await look(hosts)];
+
+    const changedUs = machineUs();
+    const change = JSON.stringify({ putItems: { listeners: [{ host: "track.example", rules: [ruleOf("mark", 2, "s0")] }] }, remove: { routes: [] } });
+    const answered = await post(boxAddress(1 % size.boxes), "/plan/change", change);
+    const acknowledgedUs = machineUs();
+    await until("every node has the change", async () => (await status(2)).marked === size.nodes);
+    const { lastMarkUs } = await status(2);
+    await rest(clock, SECOND);
+    const [boxesChanged, hostsChanged] = [await look(boxes), await look(hosts)];
+
+    const restartedFromUs = machineUs();
+    const restarted = (await Promise.all(hosts.map((host) => host.ask({ what: "restart", every: 7 })))).reduce((sum, told) => sum + whole(told, "restarted"), 0);
+    await until("every restarted node has all news", async () => (await status(0)).full === size.nodes, 120);
+    const restartUs = machineUs() - restartedFromUs;
+    const boxesRestarted = await look(boxes);
+
+    const killedUs = machineUs();
+    boxes[boxes.length - 1]?.end();
+    await rest(clock, 1_500 * MS);
+    await until("every node has a session again", async () => (await status(0)).standing === size.nodes, 120);
+    const killUs = machineUs() - killedUs;
+    return {
+      size,
+      joinedUs,
+      atRest: { seconds: size.seconds, boxes: between(boxesBefore, boxesRest), nodes: between(hostsBefore, hostsRest) },
+      change: { status: answered, acknowledgedUs: acknowledgedUs - changedUs, lastNodeUs: lastMarkUs - acknowledgedUs, boxes: between(boxesRest, boxesChanged), nodes: between(hostsRest, hostsChanged) },
+      restart: { nodes: restarted, tookUs: restartUs, boxes: between(boxesChanged, boxesRestarted) },
+      boxKilled: { tookUs: killUs },
+      loadAverage: loadavg()[0] ?? 0,
+    };
+  } finally {
+    [...boxes, ...hosts, ...workers].forEach((host) => host.end());
+    await rest(clock, 300 * MS);
+    await rm(folder, { recursive: true, force: true });
+  }
+};
+
+/** What is wrong with the sizes asked for, in one line; undefined if they fit the machine. */
+export const problemOf = (sizes: readonly Size[]): string | undefined => {
+  for (const { nodes, workers, routes, services, boxes, hosts } of sizes) {
+    const whole = Object.entries({ nodes, routes, services, boxes, hosts }).find(([, value]) => !Number.isSafeInteger(value) || value < 1);
+    if (whole) return `${whole[0]} must be a whole number of 1 or more`;
+    if (!Number.isSafeInteger(workers) || workers < 0) return "workers must be a whole number of 0 or more";
+    if (nodes > MOST_NODES) return `${nodes} nodes are more than ${MOST_NODES}`;
+    if (workers > MOST_WORKERS) return `${workers} workers are more than ${MOST_WORKERS}`;
+    const processes = boxes + hosts + Math.ceil(workers / 2_000);
+    if (processes > MOST_PROCESSES) return `${processes} processes are more than ${MOST_PROCESSES}`;
+    const neededMb = boxes * 150 + hosts * 100 + (nodes * (workers + routes + services) * 1.2) / 1_024;
+    if (neededMb > (totalmem() / 2 ** 20) * MEMORY_PART) return `about ${Math.round(neededMb)} MB are more than half of this machine's memory`;
+  }
+  return undefined;
+};
+
+const FIELDS = ["nodes", "workers", "routes", "services"] as const;
+
+const main = async (): Promise<void> => {
+  const cli = new Command("testtrack").description("measures how the control side grows: real signalboxes, hollow nodes and workers, over loopback");
+  cli
+    .argument("<what>", `what grows: ${FIELDS.join(", ")}`)
+    .argument("<sizes...>", "its sizes, such as 100 300 1000 3000")
+    .option("--nodes <n>", "hollow nodes", "30")
+    .option("--workers <n>", "hollow workers", "30")
+    .option("--routes <n>", "routes", "30")
+    .option("--services <n>", "services", "5")
+    .option("--boxes <n>", "real signalboxes, a process each", "7")
+    .option("--hosts <n>", "processes that the hollow nodes share", "6")
+    .option("--seconds <n>", "for how long it is measured at rest", "8")
+    .option("--settle <n>", "for how long it rests before that", "6")
+    .option("--commit <id>", "the commit that is measured", "")
+    .option("--out <file>", "where the result is written")
+    .action(async (what: string, sizes: string[], options: Readonly<Record<string, string>>) => {
+      const field = FIELDS.find((one) => one === what);
+      const given = (name: string) => Number(options[name]);
+      const base: Size = { nodes: given("nodes"), workers: given("workers"), routes: given("routes"), services: given("services"), boxes: given("boxes"), hosts: given("hosts"), seconds: given("seconds"), settle: given("settle") };
+      const all = field === undefined ? [] : sizes.map((size): Size => ({ ...base, [field]: Number(size) }));
+      const problem = field === undefined ? `${what} is none of ${FIELDS.join(", ")}` : problemOf(all);
+      if (problem !== undefined) {
+        process.stderr.write(`testtrack: ${problem}.\n`);
+        process.exitCode = 2;
+        return;
+      }
+      const results: Rec[] = [];
+      const machine = { cores: cpus().length, memoryGb: Math.round(totalmem() / 2 ** 30), node: process.version };
+      for (const size of all) {
+        try {
+          results.push(await runSize(size));
+        } catch (mishap) {
+          results.push({ size, failed: mishap instanceof Error ? mishap.message : String(mishap) });
+        }
+        const last = results[results.length - 1];
+        process.stdout.write(`${JSON.stringify(isRec(last) ? { size: last["size"], failed: last["failed"], change: isRec(last["change"]) ? last["change"]["lastNodeUs"] : undefined } : {})}\n`);
+        if (options["out"] !== undefined) await writeFile(options["out"], `${JSON.stringify({ commit: options["commit"], machine, command: process.argv.slice(2).join(" "), what, results }, undefined, 1)}\n`);
+      }
+    });
+  await cli.parseAsync();
+};
+
+await main();
