Joins are told once for all that came together, and relays grow deeper instead of wider

Each join sent the whole list of sessions to every colleague, the crew to every node, and sorted the relays by counting all children for each comparison: all of order nodes squared or more. And only nodes fed by the signalbox itself were relays, so that at 430 nodes a signalbox 4 relays would have fed 106 children each.

Change: sessions and crew are told at most every 60 ms; children are counted once; a relay has 8 children before those below it become relays. Up to 36 nodes a signalbox the tree is as before. Tests: 60 nodes, a relay with relays below it dies.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -18,6 +18,16 @@
     And a fact is posted at the signalbox
     Then every pointsman holds it within 2000 ms
 
+  Scenario: With many pointsmen the tree grows deeper, and no relay feeds more than a few
+    Given 60 pointsmen below the signalbox in all
+    Then no relay feeds more than 8, and none is more than 3 deep
+    When a fact is posted at the signalbox
+    Then every pointsman holds it within 100 ms
+    When a relay with relays below it dies without a word
+    And a fact is posted at the signalbox
+    Then every pointsman holds it within 2000 ms
+    And the signalbox feeds 16 at most, and nobody hangs below itself
+
   Scenario: An older fact that comes late changes nothing
     When a fact is posted at the signalbox
     And the fact is posted again with a lower version
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -10,6 +10,7 @@
 import { ManualClock } from "../support/manual-clock.js";
 
 interface Node {
+  readonly address: string;
   readonly taker: Taker;
   readonly board: Board;
   readonly feeder: Feeder;
@@ -30,36 +31,71 @@
   for (let passedMs = 0; passedMs < waitMs; passedMs += 20) await clock.pass(20_000);
 };
 
+let port = 0;
+const join = async (number: number): Promise<void> => {
+  const boxId = `127.3.0.1:${port}`;
+  const board = new Board(clock);
+  const feeder = new Feeder(clock, board, () => false);
+  const ip = `127.3.1.${number}`;
+  const taker = new Taker({ name: `n${number}`, cell: "c1", role: "pointsman", relay: `${ip}:${port + 1}`, seeds: [boxId], signalPort: port, clock, times: TIMES, board, log: silentLog });
+  const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
+    if (!taker.isFed) return;
+    feeder.adopt(wire);
+    for await (const message of incoming) assert.ok(message.kind);
+    feeder.release(wire);
+  };
+  const relay = new Switchboard(clock, TIMES, { child: serveChild }, silentLog);
+  await relay.listen(ip, port + 1);
+  void taker.run();
+  taker.events.on("fresh", feeder.setFresh);
+  nodes.push({ address: `${ip}:${port + 1}`, taker, board, feeder, relay });
+  await pass(200);
+};
+
 Given("a signalbox that feeds {int} and {int} pointsmen below it", async (room: number, count: number) => {
   assert.equal(room, FAN_OUT);
   clock = new ManualClock();
   nodes = [];
   trees += 1;
-  const port = 12_000 + trees * 20;
+  port = 12_000 + trees * 20;
   top = new Board(clock);
   topFeeder = new Feeder(clock, top, () => true);
   const boxId = `127.3.0.1:${port}`;
   const sessions = new Sessions({ clock, feeder: topFeeder, log: silentLog, isFit: () => true, boxes: () => [{ id: boxId, cell: "c1" }], answer: async (message) => message, emptiedCell: () => "", cell: "c1" });
   box = new Switchboard(clock, TIMES, { pointsman: sessions.serve }, silentLog);
   await box.listen("127.3.0.1", port);
-  for (let number = 1; number <= count; number += 1) {
-    const board = new Board(clock);
-    const feeder = new Feeder(clock, board, () => false);
-    const ip = `127.3.1.${number}`;
-    const taker = new Taker({ name: `n${number}`, cell: "c1", role: "pointsman", relay: `${ip}:${port + 1}`, seeds: [boxId], signalPort: port, clock, times: TIMES, board, log: silentLog });
-    const serveChild = async (wire: Wire, _hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
-      if (!taker.isFed) return;
-      feeder.adopt(wire);
-      for await (const message of incoming) assert.ok(message.kind);
-      feeder.release(wire);
-    };
-    const relay = new Switchboard(clock, TIMES, { child: serveChild }, silentLog);
-    await relay.listen(ip, port + 1);
-    void taker.run();
-    taker.events.on("fresh", feeder.setFresh);
-    nodes.push({ taker, board, feeder, relay });
-    await pass(200);
+  for (let number = 1; number <= count; number += 1) await join(number);
+});
+
+Given("{int} pointsmen below the signalbox in all", async (count: number) => {
+  for (let number = nodes.length + 1; number <= count; number += 1) await join(number);
+  await pass(500);
+});
+/** The relay that feeds a node, or none where the signalbox does. */
+const above = (node: Node): Node | undefined => nodes.find(({ address }) => address === node.taker.parentRelay);
+const depthOf = (node: Node): number => {
+  let depth = 0;
+  for (let at = above(node); at; at = above(at)) {
+    depth += 1;
+    assert.ok(depth < nodes.length, "a relay hangs below itself");
   }
+  return depth;
+};
+Then("no relay feeds more than {int}, and none is more than {int} deep", (most: number, deepest: number) => {
+  nodes.forEach((node) => assert.ok(node.feeder.size <= most && depthOf(node) <= deepest, `${node.feeder.size} children, ${depthOf(node)} deep`));
+  assert.equal(topFeeder.size, FAN_OUT);
+});
+When("a relay with relays below it dies without a word", () => {
+  const dying = nodes.find((node) => depthOf(node) === 0 && nodes.some((other) => other.feeder.size > 0 && above(other) === node));
+  assert.ok(dying, "no relay has relays below it");
+  nodes = nodes.filter((node) => node !== dying);
+  dying.taker.stop();
+  dying.relay.close();
+});
+Then("the signalbox feeds {int} at most, and nobody hangs below itself", async (most: number) => {
+  await pass(500);
+  assert.ok(topFeeder.size <= most, `${topFeeder.size}`);
+  nodes.forEach(depthOf);
 });
 
 When("a fact is posted at the signalbox", () => {
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -18,7 +18,7 @@
 import { readSharedBeat, Registry, type Beat } from "../signalling/registry.js";
 import { Sessions } from "../signalling/sessions.js";
 import { Switchboard } from "../signalling/switchboard.js";
-import type { Clock, Pulse } from "../trackbed/clock.js";
+import { oncePer, type Clock, type Pulse } from "../trackbed/clock.js";
 import { logFor } from "../trackbed/log.js";
 import { OUTCOME_NAMES, type OutcomeName } from "../trackbed/outcomes.js";
 import type { Settings } from "../trackbed/settings.js";
@@ -34,6 +34,7 @@
 import { openRetries } from "./signalbox-retries.js";
 
 const SWEEP_US = 1 * SECOND;
+const GATHER_JOINS_US = 60 * MS;
 const REMEMBER_US = 500 * MS;
 const EJECTIONS_REGISTER = "duty/ejections";
 const ROLLOUTS_REGISTER = "duty/rollouts";
@@ -273,7 +274,9 @@
   const answerNode = async (message: Message, node: string): Promise<Message> =>
     message.kind === "retry-ask" ? retries.answerNode(message) : ((await content?.answerNode(message, node)) ?? { kind: "unknown" });
 
-  const tellCrew = (): void => feeder.setCrew(sessions.crew());
+  /** Joins come in crowds: who has a session here is told to colleagues, and the crew to nodes, once for all that came meanwhile. */
+  const tellCrew = oncePer(clock, GATHER_JOINS_US, () => feeder.setCrew(sessions.crew()));
+  const tellSessions = oncePer(clock, GATHER_JOINS_US, () => colleagues.send(sessions.pack()));
 
   const shiftHere = (cell: string, why: string): Promise<boolean> => (why === "practice" ? inspector.practise(cell) : inspector.shiftByHand(cell));
   const shift = async (cell: string, why: string): Promise<boolean> => {
@@ -380,7 +383,7 @@
     if (roster) colleagues.learn(membersOf(roster));
   });
   sessions.events.on("own", () => {
-    colleagues.send(sessions.pack());
+    tellSessions();
     tellCrew();
   });
   sessions.events.on("changed", tellCrew);
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -37,8 +37,14 @@
   readonly answer: Rec | undefined;
 }
 
-/** How many children one node of the relay tree feeds at most. */
+/** How many children a signalbox feeds itself, as long as none has lost its relay. */
 export const FAN_OUT = 4;
+/** How many it feeds at most: one whose relay failed comes back to it first. */
+const DIRECT_MOST = 16;
+/** Beyond any cost of a relay that has room. */
+const MOST_COST = 1_000_000;
+/** How many children a relay feeds before those below it become relays too. */
+export const RELAY_MOST = 8;
 
 const readNode = (value: unknown): Node => {
   const rec = asRec(value, "node");
@@ -158,14 +164,37 @@
     }
   };
 
-  /** Feeds the node here while there is room, else below the relay with the fewest children. */
+  /** How far below this signalbox a node is fed; undefined if it hangs below the one that looks for a parent, or on none. */
+  private readonly depthBelow = (session: Session, seeker: Session, byRelay: ReadonlyMap<string, Session>): number | undefined => {
+    let at: Session | undefined = session;
+    for (let depth = 0; at && at !== seeker && depth <= byRelay.size; depth += 1) {
+      if (at.parent === "") return depth;
+      at = byRelay.get(at.parent);
+    }
+    return undefined;
+  };
+
+  /** Feeds the node here while there is room, else below the shallowest relay that has room, and there the one with the fewest children. */
   private readonly assign = (session: Session, failed: string): void => {
     const { feeder } = this.options;
     feeder.release(session.wire);
-    const relays = [...this.own.values()].filter((other) => other !== session && other.parent === "" && other.node.relay !== failed && other.node.cell !== this.options.emptiedCell());
-    const childrenOf = (relay: string) => [...this.own.values()].filter((other) => other.parent === relay).length;
-    const best = relays.sort((a, b) => childrenOf(a.node.relay) - childrenOf(b.node.relay))[0];
-    session.parent = feeder.size < FAN_OUT || failed !== "" || !best ? "" : best.node.relay;
+    const children = new Map<string, number>();
+    this.own.forEach(({ parent }) => children.set(parent, (children.get(parent) ?? 0) + 1));
+    const byRelay = new Map([...this.own.values()].map((other) => [other.node.relay, other]));
+    const emptied = this.options.emptiedCell();
+    let best: Session | undefined;
+    let bestCost = Infinity;
+    this.own.forEach((other) => {
+      if (other === session || other.node.relay === failed || other.node.cell === emptied) return;
+      const depth = this.depthBelow(other, session, byRelay);
+      if (depth === undefined) return;
+      const count = children.get(other.node.relay) ?? 0;
+      const cost = count < RELAY_MOST ? depth * RELAY_MOST + count : MOST_COST + count;
+      if (cost >= bestCost) return;
+      best = other;
+      bestCost = cost;
+    });
+    session.parent = feeder.size < (failed === "" ? FAN_OUT : DIRECT_MOST) || !best ? "" : best.node.relay;
     session.wire.send({ kind: "parent", parent: session.parent });
     if (session.parent === "") feeder.adopt(session.wire);
   };
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -56,6 +56,11 @@
     return this.parent === "" ? this.state === "standing" : this.relayWire !== undefined;
   }
 
+  /** The relay that is to feed this node; empty where its signalbox does. */
+  get parentRelay(): string {
+    return this.parent;
+  }
+
   /** Whether a session with a signalbox stands. */
   get isStanding(): boolean {
     return this.state === "standing";
--- a/src/trackbed/clock.ts
+++ b/src/trackbed/clock.ts
@@ -29,6 +29,19 @@
     clock.after(waitUs, resolve);
   });
 
+/** An act that is put off a little, and done once for all who asked for it meanwhile. */
+export const oncePer = (clock: Clock, gatherUs: number, act: () => void): (() => void) => {
+  let isDue = false;
+  return () => {
+    if (isDue) return;
+    isDue = true;
+    clock.after(gatherUs, () => {
+      isDue = false;
+      act();
+    });
+  };
+};
+
 /** Resolves to the work's value, or to `late` once the wait is over; a rejected work counts as late too. */
 export const within = <T, L>(clock: Clock, waitUs: number, work: Promise<T>, late: L): Promise<T | L> =>
   new Promise((resolve) => {
