--- a/testtrack/run.ts
+++ b/testtrack/run.ts
@@ -1,12 +1,11 @@
-import { fork, type ChildProcess } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { request } from "node:http";
 import { cpus, tmpdir, totalmem, loadavg } from "node:os";
 import { join } from "node:path";
 import { Command } from "commander";
 import { rest, SteadyClock } from "../src/trackbed/clock.js";
-import { asRec, isRec, numberOf, whole, type Rec } from "../src/trackbed/shape.js";
+import { asRec, isRec, whole, type Rec } from "../src/trackbed/shape.js";
 import { MS, SECOND } from "../src/trackbed/span.js";
+import { Host, post, ruleOf, until } from "./host-control.js";
 import { boxAddress, machineUs } from "./place.js";
 
 /** What a run may take of the machine: half of its memory, and so many processes. */
@@ -18,57 +17,6 @@
 
 const clock = new SteadyClock();
 
-/** One child process, asked over its channel. */
-class Host {
-  private readonly pending = new Map<number, (reply: Rec) => void>();
-  private last = 0;
-  readonly child: ChildProcess;
-
-  constructor(heapMb: number) {
-    this.child = fork(new URL("./host.js", import.meta.url), [], { execArgv: [`--max-old-space-size=${heapMb}`, "--max-semi-space-size=1"] });
-    this.child.on("message", (value: unknown) => {
-      const reply = asRec(value);
-      this.pending.get(numberOf(reply["re"]))?.(reply);
-    });
-    this.child.on("exit", () => this.pending.forEach((resolve) => resolve({ mishap: "it ended" })));
-  }
-
-  readonly ask = async (order: Rec): Promise<Rec> => {
-    this.last += 1;
-    const id = this.last;
-    const reply = await new Promise<Rec>((resolve) => {
-      this.pending.set(id, resolve);
-      this.child.send({ ...order, ask: id });
-    });
-    this.pending.delete(id);
-    if (typeof reply["mishap"] === "string") throw new Error(reply["mishap"]);
-    return reply;
-  };
-
-  readonly end = (): boolean => this.child.kill("SIGKILL");
-}
-
-const post = (address: string, path: string, body: string): Promise<number> =>
-  new Promise((resolve) => {
-    const call = request(`http://${address}${path}`, { method: "POST", timeout: 8_000, headers: { "Content-Length": Buffer.byteLength(body) } }, (response) => {
-      response.resume();
-      response.on("end", () => resolve(response.statusCode ?? 0));
-    });
-    call.on("timeout", () => call.destroy());
-    call.on("error", () => resolve(0));
-    call.end(body);
-  });
-
-const ruleOf = (name: string, version: number, service: string): Rec => ({
-  name,
-  routeKind: "safe",
-  target_time: "600ms",
-  rank: 1,
-  version,
-  matchOn: { pathStart: `/${name}/` },
-  then: { service, giveUp: "2000ms", tries: 2 },
-});
-
 export interface Size {
   readonly nodes: number;
   readonly workers: number;
@@ -91,15 +39,6 @@
     remove: { routes: [] },
   });
 
-const until = async (what: string, isSo: () => Promise<boolean>, seconds = 90): Promise<number> => {
-  const fromUs = machineUs();
-  while (machineUs() - fromUs < seconds * SECOND) {
-    if (await isSo()) return machineUs() - fromUs;
-    await rest(clock, 50 * MS);
-  }
-  throw new Error(`after ${seconds} s it was still not so that ${what}`);
-};
-
 interface Sum {
   readonly cpuUs: number;
   readonly rssMb: number;
