--- a/features/steps/inspection.ts
+++ b/features/steps/inspection.ts
@@ -5,18 +5,9 @@
 import { TERMS } from "../../src/inspection/ranking.js";
 import { NO_ROLLOUTS, RolloutInspector, type RolloutState, type SplitRoute } from "../../src/inspection/rollout-inspector.js";
 import { silentLog } from "../../src/trackbed/log.js";
+import { seeded } from "../support/fleet.js";
 import { ManualClock } from "../support/manual-clock.js";
 
-const seeded = (seed: number): (() => number) => {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-};
-
 // --- the simulation -------------------------------------------------------------------------------------------------
 
 interface Rates {
