--- a/features/steps/terms.ts
+++ b/features/steps/terms.ts
@@ -6,6 +6,7 @@
 import { Board } from "../../src/signalling/board.js";
 import { readBeat, Registry } from "../../src/signalling/registry.js";
 import { checkSettings } from "../../src/trackbed/settings.js";
+import { oncePer } from "../../src/trackbed/clock.js";
 import { ManualClock } from "../support/manual-clock.js";
 
 const RIGHT = `[node]
@@ -56,6 +57,27 @@
 });
 
 const clock = new ManualClock();
+let told = 0;
+let join: () => void = () => undefined;
+Given("news that is gathered for {int} ms", (ms: number) => {
+  told = 0;
+  join = oncePer(clock, ms * 1_000, () => (told += 1));
+});
+When("{int} nodes join within {int} ms", async (count: number, ms: number) => {
+  for (let at = 0; at < count; at += 1) {
+    join();
+    await clock.pass(Math.floor((ms * 1_000) / count));
+  }
+  await clock.pass(100_000);
+});
+When("{int} nodes join {int} ms apart", async (count: number, ms: number) => {
+  for (let at = 0; at < count; at += 1) {
+    join();
+    await clock.pass(ms * 1_000);
+  }
+});
+Then("it is told {int} time(s)", (count: number) => assert.equal(told, count));
+
 let registry: Registry;
 
 const beat = (id: string, state: string, callCount: number) =>
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -18,6 +18,13 @@
     When settings are read in which nothing is wrong
     Then the grace is 6000000 microseconds
 
+  Scenario: What many joins would tell is told once for all that came together
+    Given news that is gathered for 60 ms
+    When 430 nodes join within 50 ms
+    Then it is told 1 time
+    When 3 nodes join 100 ms apart
+    Then it is told 4 times
+
   Scenario: A late beat does not make a draining worker ready again
     Given a registry that knows worker "w1" as draining at call 5
     When a beat of call 4 says that "w1" is ready
