--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -251,5 +251,3 @@
     });
   };
 }
-
-export const percentile = (values: readonly number[], part: number): number => [...values].sort((a, b) => a - b)[Math.min(values.length - 1, Math.floor(values.length * part))] ?? 0;
--- a/src/interlocking/retry-office.ts
+++ b/src/interlocking/retry-office.ts
@@ -1,13 +1,11 @@
 import type { Clock } from "../trackbed/clock.js";
-import { kindOf, limitOf, type RetryLimits } from "../trackbed/retry-limits.js";
+import { kindOf, limitOf, USED_PART, type RetryLimits } from "../trackbed/retry-limits.js";
 import { asList, list, numberOf, text, textOf } from "../trackbed/shape.js";
 import { SECOND } from "../trackbed/span.js";
 import type { Message } from "../trackbed/wire.js";
 import { ShareOffice } from "./share-office.js";
 
 export const RETRY_LEASE_US = 3 * SECOND;
-/** Kept back of the slack, as the nodes keep back of the ratio. */
-const USED_PART = 0.8;
 /** No node gets more of a slack than this part of it, so that the first to ask don't take it all. */
 const MOST_PART = 1 / 8;
 
@@ -47,16 +45,17 @@
     this.look();
     if (this.sinceUs === undefined) return { kind: "retries" };
     const life = text(message, "life");
+    const limits = this.options.limits();
     const rows = list(message, "wants", (value) => {
       const [service, kind, wanted, held] = asList(value, "want");
-      return [textOf(service), textOf(kind), this.give(life, textOf(service), textOf(kind), numberOf(wanted), numberOf(held))];
+      return [textOf(service), textOf(kind), this.give(limits, life, textOf(service), textOf(kind), numberOf(wanted), numberOf(held))];
     });
     return { kind: "retries", rows, lastsUs: RETRY_LEASE_US };
   };
 
-  private readonly give = (life: string, service: string, kind: string, wanted: number, held: number): number => {
-    const { clock, windowUs, limits } = this.options;
-    const whole = limitOf(limits(), service, kindOf(kind)).slack * USED_PART;
+  private readonly give = (limits: RetryLimits, life: string, service: string, kind: string, wanted: number, held: number): number => {
+    const { clock, windowUs } = this.options;
+    const whole = limitOf(limits, service, kindOf(kind)).slack * USED_PART;
     const key = `${service}|${kind}`;
     const office = this.offices.get(key) ?? new ShareOffice(clock, { lastsUs: RETRY_LEASE_US, restUs: windowUs }, this.sinceUs);
     this.offices.set(key, office);
--- a/src/programs/backends-check.ts
+++ b/src/programs/backends-check.ts
@@ -1,3 +1,4 @@
+import { LEAST_CALLS } from "../traction/move-forecast.js";
 import { asRec, isRec, list, numberOf, text, textOf, whole, type Rec } from "../trackbed/shape.js";
 
 export interface CheckedRow extends Rec {
@@ -13,8 +14,6 @@
   readonly verdict: "within" | "outside" | "too few calls" | "not heard";
 }
 
-const LEAST_CALLS = 30;
-
 interface SeenCall {
   readonly kind: string;
   readonly worker: string;
--- a/src/programs/dispatch.ts
+++ b/src/programs/dispatch.ts
@@ -1,14 +1,20 @@
 import express, { type Request, type Response } from "express";
 import { createServer, type Server } from "node:http";
-import { OUTCOMES, type OutcomeName } from "../trackbed/outcomes.js";
+import { OUTCOME_NAMES, OUTCOMES, type OutcomeName } from "../trackbed/outcomes.js";
 import { splitAddress } from "../trackbed/settings.js";
-import type { Rec } from "../trackbed/shape.js";
+import { asRec, type Rec } from "../trackbed/shape.js";
 
 export interface Verdict {
   readonly outcome: OutcomeName;
   readonly body?: Rec;
 }
 
+/** The verdict in the reply of a colleague that an order was passed on to; undefined where none came. */
+export const readVerdict = (reply: Rec | undefined): Verdict | undefined => {
+  const outcome = OUTCOME_NAMES.find((name) => name === reply?.["outcome"]);
+  return outcome === undefined ? undefined : { outcome, body: asRec(reply?.["body"] ?? {}) };
+};
+
 export interface Call {
   readonly segments: readonly string[];
   readonly body: string;
--- a/src/programs/signalbox-retries.ts
+++ b/src/programs/signalbox-retries.ts
@@ -4,12 +4,11 @@
 import type { Colleagues } from "../signalling/colleagues.js";
 import type { NodeAnswer } from "../signalling/sessions.js";
 import type { Clock } from "../trackbed/clock.js";
-import { OUTCOME_NAMES } from "../trackbed/outcomes.js";
 import { defaultLimits, EVERY_SERVICE, kindOf, limitOf, readRetryLimits, ROUTE_KINDS, withLimit, type RetryLimits } from "../trackbed/retry-limits.js";
 import type { Settings } from "../trackbed/settings.js";
 import { asRec, list, text, whole, type Rec } from "../trackbed/shape.js";
 import type { Message } from "../trackbed/wire.js";
-import type { Verdict } from "./dispatch.js";
+import { readVerdict, type Verdict } from "./dispatch.js";
 import { ceilingOf } from "./retries.js";
 
 export interface RetriesOptions {
@@ -53,8 +52,7 @@
     if (typeof order["service"] !== "string" || order["service"] === "" || typeof order["kind"] !== "string") return { outcome: "wrong", body: { problem: "service and kind must be texts" } };
     if (duty.isHolder()) return setHere(order);
     const reply = await colleagues.ask(duty.holder(), { ...order, kind: "retry-set", order }, 2 * STORE_WAIT_US);
-    const outcome = OUTCOME_NAMES.find((name) => name === reply?.["outcome"]);
-    return outcome === undefined ? { outcome: "noQuorum" } : { outcome, body: asRec(reply?.["body"] ?? {}) };
+    return readVerdict(reply) ?? { outcome: "noQuorum" };
   };
 
   /** What is spent and left, by service and kind over all nodes that answer. */
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -20,14 +20,14 @@
 import { Switchboard } from "../signalling/switchboard.js";
 import { oncePer, type Clock, type Pulse } from "../trackbed/clock.js";
 import { logFor } from "../trackbed/log.js";
-import { OUTCOME_NAMES, type OutcomeName } from "../trackbed/outcomes.js";
+import type { OutcomeName } from "../trackbed/outcomes.js";
 import type { Settings } from "../trackbed/settings.js";
 import { flag, list, parseJson, text, asRec, whole } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import { TIMES } from "./member.js";
 import { Commands, controlEntries, Queries, type WindowCall } from "./control.js";
-import { serveCalls, type Verdict } from "./dispatch.js";
+import { readVerdict, serveCalls, type Verdict } from "./dispatch.js";
 import { NodeAnswers } from "./node-answers.js";
 import type { Running } from "./running.js";
 import { openBackends } from "./signalbox-backends.js";
@@ -228,8 +228,7 @@
   const window = async (order: WindowCall): Promise<Verdict> => {
     if (duty.isHolder()) return windowHere(order);
     const reply = await colleagues.ask(duty.holder(), { kind: "window", ...order }, 2 * STORE_WAIT_US);
-    const outcome = OUTCOME_NAMES.find((name) => name === reply?.["outcome"]);
-    return outcome === undefined ? windowMishap("noQuorum") : { outcome, body: asRec(reply?.["body"] ?? {}) };
+    return readVerdict(reply) ?? windowMishap("noQuorum");
   };
 
   const share = async (beats: readonly Beat[], waits: boolean): Promise<boolean> => {
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -44,7 +44,7 @@
 /** Beyond any cost of a relay that has room. */
 const MOST_COST = 1_000_000;
 /** How many children a relay feeds before those below it become relays too. */
-export const RELAY_MOST = 8;
+const RELAY_MOST = 8;
 
 const readNode = (value: unknown): Node => {
   const rec = asRec(value, "node");
--- a/src/trackbed/retry-limits.ts
+++ b/src/trackbed/retry-limits.ts
@@ -15,6 +15,9 @@
   readonly slack: number;
 }
 
+/** Of a ratio by the nodes, and of a slack by who leases it out, so much is used: windows slide in steps, and nodes come and go. */
+export const USED_PART = 0.8;
+
 /** What no limit may pass: the deployment's own bound for a service, over all kinds. */
 export interface RetryCeiling {
   readonly ratio: number;
--- a/src/traction/retry-budget.ts
+++ b/src/traction/retry-budget.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
-import { limitOf, type RetryLimit, type RetryLimits, type RouteKind } from "../trackbed/retry-limits.js";
+import { limitOf, USED_PART, type RetryLimit, type RetryLimits, type RouteKind } from "../trackbed/retry-limits.js";
 import type { Rec } from "../trackbed/shape.js";
 
 interface Slot {
@@ -17,8 +17,6 @@
 }
 
 const SLOTS = 20;
-/** Kept back, since windows slide in steps here. */
-export const USED_PART = 0.8;
 const NO_LEASE: Lease = { tokens: 0, endUs: 0 };
 
 /**
--- a/src/traction/subset.ts
+++ b/src/traction/subset.ts
@@ -24,7 +24,7 @@
 }
 
 /** Up to so many workers a service is used whole by every node. */
-export const FEW = 16;
+const FEW = 16;
 /** The least part of a subset in the own cell: with fewer, one worker that is ill is felt. */
 const NEAR_LEAST = 6;
 /** Each worker is to be held by so many nodes of its cell, so that their uneven traffic evens out at it. */
@@ -40,7 +40,7 @@
 };
 
 /** How much a node wants a worker (rendezvous hashing): whoever comes or goes moves no other pair. */
-export const rankOf = (node: string, worker: string): number => mix(crc32(`${node}\n${worker}`));
+const rankOf = (node: string, worker: string): number => mix(crc32(`${node}\n${worker}`));
 
 /** A count between two powers of two stands for the upper one, so that a node more or less changes no subset. */
 const roundUp = (count: number): number => 2 ** Math.ceil(Math.log2(Math.max(1, count)));
--- a/testtrack/place.ts
+++ b/testtrack/place.ts
@@ -1,4 +1,4 @@
-import { splitAddress, type Settings } from "../src/trackbed/settings.js";
+import type { Settings } from "../src/trackbed/settings.js";
 import { MS, SECOND } from "../src/trackbed/span.js";
 
 export const SIGNAL_PORT = 17_500;
@@ -54,7 +54,5 @@
   rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
 });
 
-export const ipOf = (address: string): string => splitAddress(address).ip;
-
 /** The machine's own steady clock, the same in all its processes. */
 export const machineUs = (): number => Number(process.hrtime.bigint() / 1_000n);
