An answer means something only if it bears this try's id, promises included

Cause: WorkerCall let 421 and Yewreel-Not-Run pass before it looked at the try's id, so a late promise for another try, on a kept connection, was taken for this one's: the order ran at both workers (TWICE), or its caller was promised that it had not run (REFUSED); a late 421 removed a healthy worker. Change: the id is looked at first; with another or none the request is lost.

--- a/features/support/stand-in.ts
+++ b/features/support/stand-in.ts
@@ -87,7 +87,7 @@
       case "full":
         return void socket.write(`HTTP/1.1 503 Service Unavailable\r\nYewreel-Try-Id: ${tryId}\r\nYewreel-Not-Run: 1\r\nContent-Length: 0\r\n\r\n`);
       case "other":
-        return void socket.write("HTTP/1.1 421 Misdirected Request\r\nYewreel-Worker-Id: i-other\r\nContent-Length: 0\r\n\r\n");
+        return void socket.write(`HTTP/1.1 421 Misdirected Request\r\nYewreel-Try-Id: ${tryId}\r\nYewreel-Worker-Id: i-other\r\nContent-Length: 0\r\n\r\n`);
       case "wrong id":
         return void socket.write(this.answerOf("somebody-else"));
       case "no seal":
--- /dev/null
+++ b/fuzz/rig.ts
@@ -0,0 +1,146 @@
+import assert from "node:assert/strict";
+import { settle, ManualClock } from "../features/support/manual-clock.js";
+import { readCall } from "../src/interlocking/check.js";
+import { Board, PLAN_PREFIX, WORKER_PREFIX } from "../src/signalling/board.js";
+import { Front } from "../src/traction/front.js";
+import { KeyDesk } from "../src/traction/key-desk.js";
+import { RetryBudgets } from "../src/traction/retry-budget.js";
+import { RouteTable } from "../src/traction/routes.js";
+import { Yard } from "../src/traction/yard.js";
+import type { Clock } from "../src/trackbed/clock.js";
+import { silentLog } from "../src/trackbed/log.js";
+import { defaultLimits, type RouteKind } from "../src/trackbed/retry-limits.js";
+import type { Message } from "../src/trackbed/wire.js";
+import type { ScriptedWorker } from "./scripted-worker.js";
+
+export const HOST = "a.example";
+/** The most workers to which one try may go, by the plan. */
+export const TRIES = 2;
+export const GIVE_UP_US = 3_000_000;
+
+/** Routes "/safe/", "/unsafe/" and "/keyed/", all to the service "s1". */
+export const planOf = (tries = TRIES, kindOf: (kind: string) => string = (kind) => kind): string =>
+  JSON.stringify({
+    putItems: {
+      listeners: [
+        {
+          host: HOST,
+          rules: ["safe", "unsafe", "keyed"].map((kind) => ({
+            name: kind,
+            routeKind: kindOf(kind),
+            target_time: "800ms",
+            rank: 1,
+            version: 1,
+            matchOn: { pathStart: `/${kind}/` },
+            then: { service: "s1", giveUp: `${GIVE_UP_US / 1_000}ms`, tries },
+          })),
+        },
+      ],
+      groups: [{ name: "s1", statusPath: "/health", maxConnections: 100, version: 1 }],
+    },
+  });
+
+/** A desk of one book: who has which key, and what its run was answered with. */
+export class OneBook {
+  readonly claims = new Map<string, { readonly token: string; answer: unknown }>();
+  isShut = false;
+
+  readonly ask = async (message: Message): Promise<Message | undefined> => {
+    if (this.isShut) return undefined;
+    const [key, token] = [String(message["key"]), String(message["token"])];
+    const held = this.claims.get(key);
+    if (message.kind === "key-done") {
+      this.claims.set(key, { token, answer: message["answer"] });
+      return { kind: "claim", kept: true };
+    }
+    if (held && held.token !== token) return held.answer === undefined ? { kind: "claim", verdict: "working" } : { kind: "claim", verdict: "done", answer: held.answer };
+    this.claims.set(key, { token, answer: undefined });
+    return { kind: "claim", verdict: "won" };
+  };
+
+  readonly tell = (message: Message): void => {
+    const key = String(message["key"]);
+    if (message.kind === "key-free" && this.claims.get(key)?.token === message["token"]) this.claims.delete(key);
+  };
+}
+
+export interface RigOptions {
+  readonly plan?: string;
+  readonly random?: () => number;
+  /** The clock the front goes by, where it is not the rig's own. */
+  readonly clockOf?: (own: ManualClock) => Clock;
+  readonly ask?: (message: Message) => Promise<Message | undefined>;
+  readonly retryRatio?: number;
+}
+
+let rigs = 0;
+
+/** One front with its yard on a clock of its own, on an address that no other rig or process of this machine has. */
+export class Rig {
+  readonly clock = new ManualClock();
+  readonly book = new OneBook();
+  readonly board: Board;
+  readonly yard: Yard;
+  readonly front: Front;
+  readonly host: string;
+  readonly port: number;
+  readonly retriesOf: (kind: RouteKind) => number;
+
+  constructor(options: RigOptions = {}) {
+    const { clockOf, random = Math.random, retryRatio = 100, plan = planOf(), ask = this.book.ask } = options;
+    const clock = clockOf?.(this.clock) ?? this.clock;
+    rigs += 1;
+    this.host = `127.${64 + ((process.pid >> 8) % 64)}.${process.pid & 255}.${(rigs % 250) + 1}`;
+    this.port = 12_000 + Math.floor(rigs / 250);
+    this.board = new Board(clock);
+    this.yard = new Yard(clock, "n1", "c1");
+    const table = new RouteTable();
+    const budgets = new RetryBudgets({ clock, log: silentLog, windowUs: 10_000_000, limits: () => defaultLimits({ ratio: retryRatio, slack: 0, windowUs: 10_000_000 }) });
+    this.retriesOf = (kind) => budgets.of("s1", kind).tell().retries;
+    this.front = new Front({
+      clock,
+      log: silentLog,
+      cell: "c1",
+      roomBytes: 4 * 1024 * 1024,
+      table,
+      yard: this.yard,
+      budgets,
+      connectionShare: () => 10,
+      countFault: () => undefined,
+      tally: () => undefined,
+      countRollout: () => undefined,
+      random,
+      desk: new KeyDesk(clock, ask, this.book.tell),
+    });
+    this.board.events.on("changed", (facts) => {
+      table.take(facts);
+      this.yard.take(facts);
+      this.front.wake();
+    });
+    const call = readCall(plan);
+    assert.ok(call.isOk);
+    this.board.post(call.value.map((register) => ({ key: PLAN_PREFIX + register.key, version: register.version, tie: "", body: { dropped: false, item: register.body } })));
+  }
+
+  readonly start = async (): Promise<void> => {
+    await this.front.listen(`${this.host}:${this.port}`);
+    await settle();
+  };
+
+  readonly join = async (worker: ScriptedWorker, capacity = 3): Promise<void> => {
+    await worker.start();
+    this.board.post([{ key: WORKER_PREFIX + worker.id, version: 1, tie: "", body: { service: "s1", address: worker.address, cell: "c1", capacity, state: "ready", warmUs: 0 } }]);
+    await settle();
+  };
+
+  /** Moves the clock on in steps until it is so, or for a minute; what is under test never waits for real time. */
+  readonly until = async (isSo: () => boolean, stepUs = 5_000): Promise<void> => {
+    for (let passedUs = 0; passedUs < 60_000_000 && !isSo(); passedUs += stepUs) await this.clock.pass(stepUs);
+    assert.ok(isSo(), "it never came to be");
+  };
+
+  readonly stop = (): void => {
+    this.yard.all().forEach((one) => one.closeIdle());
+    this.front.stopListening();
+  };
+}
--- a/src/traction/call.ts
+++ b/src/traction/call.ts
@@ -37,7 +37,7 @@
   | { readonly kind: "answered"; readonly answer: Answer }
   /** The worker says that it did not run the request, or no byte of the request was sent. */
   | { readonly kind: "not-run"; readonly why: "full" | "other-worker" | "refused" | "unreachable"; readonly answer: Answer | undefined }
-  /** It may have run: a broken answer, another request's answer, an answer without its seal, a reset. */
+  /** It may have run: a broken answer, another request's answer or one without an id, one without its seal, a reset. */
   | { readonly kind: "lost"; readonly why: string }
   | { readonly kind: "cancelled" };
 
@@ -59,10 +59,20 @@
 
 const EMPTY = Buffer.alloc(0);
 
-/** Why an answer can't be this request's whole own answer, or undefined if it can. */
-const doubt = (status: number, heads: FlatHeads, { tryId, method, alone }: Order): string | undefined => {
+/** Whether an answer is to this very try. Nothing may be concluded from one that isn't: not even that it did not run. */
+const isOwn = (heads: FlatHeads, { tryId, alone }: Order): boolean => {
   const told = headOf(heads, TRY_ID);
-  if (told !== tryId && !(alone === true && told === undefined)) return "another id";
+  return told === tryId || (alone === true && told === undefined);
+};
+
+/** Whether the worker says that it turned the request away. Only to be asked of an own answer. */
+const isTurnedAway = (status: number, heads: FlatHeads): boolean => status === 421 || headOf(heads, NOT_RUN) !== undefined;
+
+/** Why an answer can't be this request's whole own answer, or undefined if it can. */
+const doubt = (status: number, heads: FlatHeads, order: Order): string | undefined => {
+  const { method } = order;
+  if (!isOwn(heads, order)) return "another id";
+  if (isTurnedAway(status, heads)) return status < 400 ? "a success that did not run" : undefined;
   if (headOf(heads, "content-encoding") !== undefined) return "an encoding";
   const isBounded = headOf(heads, "content-length") !== undefined || headOf(heads, "transfer-encoding") !== undefined;
   if (!isBounded && status !== 204 && status !== 304 && method !== "HEAD") return "no bound";
@@ -81,7 +91,6 @@
   private heads: FlatHeads = [];
   private readonly chunks: Buffer[] = [];
   private heldBytes = 0;
-  private doubtful: string | undefined;
   private restSinks: { readonly onData: (chunk: Buffer) => boolean; readonly onEnd: (isWhole: boolean) => void } | undefined;
   private streaming = false;
   private readonly coupling;
@@ -122,11 +131,10 @@
     const raw = controller.rawHeaders;
     this.heads = Array.isArray(raw) ? raw.map((entry) => (typeof entry === "string" ? entry : entry.toString("latin1"))) : [];
     this.status = statusCode;
+    const why = doubt(statusCode, this.heads, this.order);
+    if (why !== undefined) return this.finish(true, false, { kind: "lost", why });
     const usage = usageOf(headOf(this.heads, USAGE));
     if (usage) this.worker.tell(...usage);
-    if (statusCode === 421 || headOf(this.heads, NOT_RUN) !== undefined) return;
-    this.doubtful = doubt(statusCode, this.heads, this.order);
-    if (this.doubtful !== undefined) this.finish(true, false, { kind: "lost", why: this.doubtful });
   };
 
   readonly onResponseData = (controller: Dispatcher.DispatchController, chunk: Buffer): void => {
