One place decides what a caller is told: a request's fate as a state machine

Cause: whether a request had run was spread over sends, mayHaveRun, hasRun and hasStarted, read in six places. Change: Fate holds the states unsent, may-have-run, not-run, has-run, answered and their few moves; it is asked right before the first byte leaves for a worker, and what a refusal says follows from it. Also: a worker's own 408, 421, 429 or 503 without its word that it turned an order away is told as 502; nothing is sent once the time is over, whether the timer has fired or not; a caller who leaves amid a large answer ends the worker's call; an early answer to a streamed body reaches its caller; a request that can't be written counts against no worker; a read of an object ends with its time.

--- a/src/goods/origin.ts
+++ b/src/goods/origin.ts
@@ -45,7 +45,7 @@
     const tried = new Set<string>();
     let bad: Copy | undefined;
     for (let round = 0; round < TRIES; round += 1) {
-      if (round > 0 && !budget.spend()) break;
+      if (clock.nowUs() >= want.untilUs || (round > 0 && !budget.spend())) break;
       const turn = await this.turn(want);
       if (turn !== undefined) return bad ? { kind: "found", copy: bad } : turn;
       if (round === 0) budget.count();
@@ -57,8 +57,11 @@
       if (verdict.kind !== "answered") continue;
       const { answer } = verdict;
       if (answer.status === 304 && old) return { kind: "found", copy: { ...old, bornUs: beganUs } };
-      const body = await this.whole(answer);
-      if (!body) continue;
+      const body = await within(clock, want.untilUs - clock.nowUs(), this.whole(answer), undefined);
+      if (!body) {
+        answer.rest?.stop();
+        continue;
+      }
       const copy = this.copyOf(want, answer, body, beganUs);
       if (answer.status < 500) return { kind: "found", copy };
       bad = copy;
@@ -110,7 +113,7 @@
       heads.push("If-None-Match", old.etag);
       this.checks += 1;
     } else this.fetches += 1;
-    const call = new WorkerCall(worker, { method: "GET", path: want.url, heads, body: null, tryId, alone: true, hold: () => true }, clock.nowUs);
+    const call = new WorkerCall(worker, { method: "GET", path: want.url, heads, body: null, tryId, alone: true, hold: () => true, mayBegin: () => clock.nowUs() < want.untilUs }, clock.nowUs);
     let verdict: CallVerdict | undefined;
     while (verdict === undefined) {
       verdict = await within(clock, SILENCE_CHECK_US, call.verdict, undefined);
@@ -119,8 +122,8 @@
         verdict = { kind: "lost", why: "silence" };
       }
     }
-    if (verdict.kind === "not-run" && verdict.why === "other-worker") yard.misdirected(worker);
-    const isOut = verdict.kind === "lost" || (verdict.kind === "not-run" && (verdict.why === "unreachable" || verdict.why === "refused"));
+    if (verdict.kind === "turned-away" && verdict.why === "other-worker") yard.misdirected(worker);
+    const isOut = verdict.kind === "lost" || (verdict.kind === "unsent" && (verdict.why === "unreachable" || verdict.why === "refused"));
     if (isOut) worker.shun();
     countFault(worker.id, isOut);
     return verdict;
--- a/src/traction/call.ts
+++ b/src/traction/call.ts
@@ -16,6 +16,8 @@
   readonly alone?: boolean;
   /** Takes room for a part of the answer; when there is none left, the answer flows on without being held. */
   readonly hold: (bytes: number) => boolean;
+  /** Asked once, right before the first byte leaves; false keeps it all from leaving, and the verdict is `withheld`. */
+  readonly mayBegin: () => boolean;
 }
 
 export interface Answer {
@@ -31,20 +33,25 @@
 export interface Rest {
   readonly flow: (onData: (chunk: Buffer) => boolean, onEnd: (isWhole: boolean) => void) => void;
   readonly resume: () => void;
+  /** Nobody wants the rest any more: the connection is given up. */
+  readonly stop: () => void;
 }
 
 export type CallVerdict =
   | { readonly kind: "answered"; readonly answer: Answer }
-  /** The worker says that it did not run the request, or no byte of the request was sent. */
-  | { readonly kind: "not-run"; readonly why: "full" | "other-worker" | "refused" | "unreachable"; readonly answer: Answer | undefined }
+  /** The worker says, in an answer to this very try, that it did not run the request. */
+  | { readonly kind: "turned-away"; readonly why: "full" | "other-worker" }
+  /**
+   * No byte of the request has left: the worker refused the connection or could not be reached, the sending was
+   * withheld, or the request is one that can't be written.
+   */
+  | { readonly kind: "unsent"; readonly why: "refused" | "unreachable" | "withheld" | "unwritable" }
   /** It may have run: a broken answer, another request's answer or one without an id, one without its seal, a reset. */
   | { readonly kind: "lost"; readonly why: string }
   | { readonly kind: "cancelled" };
 
 export interface Calling {
   readonly verdict: Promise<CallVerdict>;
-  /** Whether bytes of the request may have reached the worker. */
-  readonly hasStarted: () => boolean;
   readonly cancel: () => void;
 }
 
@@ -74,7 +81,7 @@
   if (!isOwn(heads, order)) return "another id";
   if (isTurnedAway(status, heads)) return status < 400 ? "a success that did not run" : undefined;
   if (headOf(heads, "content-encoding") !== undefined) return "an encoding";
-  const isBounded = headOf(heads, "content-length") !== undefined || headOf(heads, "transfer-encoding") !== undefined;
+  const isBounded = headOf(heads, "content-length") !== undefined || headOf(heads, "transfer-encoding")?.trim().toLowerCase() === "chunked";
   if (!isBounded && status !== 204 && status !== 304 && method !== "HEAD") return "no bound";
   if (status >= 200 && status < 300 && headOf(heads, SEAL) === undefined) return "no seal";
   return undefined;
@@ -108,21 +115,20 @@
     this.coupling = worker.couple(order.alone === true);
     const { method, path, heads, body } = order;
     try {
-      this.coupling.client.dispatch({ method: methodOf(method), path, headers: heads, body, idempotent: false, headersTimeout: 0, bodyTimeout: 0 }, this);
+      this.coupling.client.dispatch({ method, path, headers: heads, body, idempotent: false, headersTimeout: 0, bodyTimeout: 0 }, this);
     } catch {
-      this.finish(false, false, { kind: "not-run", why: "unreachable", answer: undefined });
+      this.finish(false, false, { kind: "unsent", why: "unwritable" });
     }
   }
 
-  readonly hasStarted = (): boolean => this.started;
-
   readonly cancel = (): void => {
     if (!this.over) this.finish(false, false, { kind: "cancelled" });
   };
 
   readonly onRequestStart = (controller: Dispatcher.DispatchController): void => {
-    if (this.over) return controller.abort(new Error("cancelled"));
     this.controller = controller;
+    if (this.over) return controller.abort(new Error("cancelled"));
+    if (!this.order.mayBegin()) return this.finish(false, false, { kind: "unsent", why: "withheld" });
     this.started = true;
   };
 
@@ -156,13 +162,12 @@
       return;
     }
     if (this.over) return;
-    const answer: Answer = { status: this.status, heads: this.heads, start: this.body(), rest: undefined };
     const isSound = this.order.alone !== true && headOf(this.heads, "connection")?.toLowerCase() !== "close";
-    if (this.status === 421) this.finish(true, false, { kind: "not-run", why: "other-worker", answer });
-    else if (headOf(this.heads, NOT_RUN) !== undefined) this.finish(true, isSound, { kind: "not-run", why: "full", answer });
+    if (this.status === 421) this.finish(true, false, { kind: "turned-away", why: "other-worker" });
+    else if (isTurnedAway(this.status, this.heads)) this.finish(true, isSound, { kind: "turned-away", why: "full" });
     else {
       this.worker.learn(this.nowUs() - this.mark.sinceUs);
-      this.finish(true, isSound, { kind: "answered", answer });
+      this.finish(true, isSound, { kind: "answered", answer: { status: this.status, heads: this.heads, start: this.body(), rest: undefined } });
     }
   };
 
@@ -175,7 +180,7 @@
     }
     if (this.over) return;
     if (this.started) this.finish(false, false, { kind: "lost", why: mishap.message });
-    else this.finish(false, false, { kind: "not-run", why: isRefusal(mishap) ? "refused" : "unreachable", answer: undefined });
+    else this.finish(false, false, { kind: "unsent", why: whyUnsent(mishap) });
   };
 
   private readonly body = (): Buffer => (this.chunks.length === 1 ? (this.chunks[0] ?? EMPTY) : Buffer.concat(this.chunks));
@@ -190,6 +195,11 @@
         controller.resume();
       },
       resume: () => controller.resume(),
+      stop: () => {
+        if (!this.streaming) return;
+        this.streaming = false;
+        this.release(true, false);
+      },
     };
     this.resolve({ kind: "answered", answer: { status: this.status, heads: this.heads, start: this.body(), rest } });
   };
@@ -207,12 +217,9 @@
   };
 }
 
-/** The worker's own machine said no, as against silence or a path that is not there. */
-const isRefusal = (mishap: Error): boolean => "code" in mishap && (mishap.code === "ECONNREFUSED" || mishap.code === "ECONNRESET" || mishap.code === "UND_ERR_SOCKET");
-
-const METHODS: readonly Dispatcher.HttpMethod[] = ["GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "TRACE", "PATCH"];
-const methodOf = (method: string): Dispatcher.HttpMethod => {
-  const known = METHODS.find((candidate) => candidate === method);
-  if (known === undefined) throw new Error("an unknown method");
-  return known;
+/** The worker's own machine said no, as against silence, a path that is not there, or a request that is none. */
+const whyUnsent = (mishap: Error): "refused" | "unreachable" | "unwritable" => {
+  const code = "code" in mishap ? mishap.code : undefined;
+  if (code === "UND_ERR_INVALID_ARG" || code === "UND_ERR_REQ_CONTENT_LENGTH_MISMATCH") return "unwritable";
+  return code === "ECONNREFUSED" || code === "ECONNRESET" || code === "UND_ERR_SOCKET" ? "refused" : "unreachable";
 };
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -1,6 +1,7 @@
 import express from "express";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { PassThrough, type Readable } from "node:stream";
 import { rest, within, type Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
 import { OUTCOMES, type OutcomeName } from "../trackbed/outcomes.js";
@@ -10,6 +11,7 @@
 import { WorkerCall, type Answer, type CallVerdict, type Calling } from "./call.js";
 import type { RolloutOutcome } from "../inspection/rollout-counts.js";
 import { Chooser } from "./choose.js";
+import { Fate } from "./fate.js";
 import { Gate } from "./gate.js";
 import { EXPECT_WORKER, OPERATION_KEY, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
 import type { KeyAnswer, KeyDesk } from "./key-desk.js";
@@ -138,9 +140,10 @@
 
   private readonly arrive = (req: IncomingMessage, res: ServerResponse): void => {
     const { clock } = this.options;
-    const line = this.lines.get(req.socket) ?? { open: 0, last: Promise.resolve(), closing: false };
+    const line = this.lines.get(req.socket) ?? { open: 0, last: Promise.resolve(), came: 0, closedBy: Infinity };
     this.lines.set(req.socket, line);
-    if (line.closing) return;
+    if (line.closedBy !== Infinity) return;
+    line.came += 1;
     const arrivedUs = clock.nowUs();
     const left = Number(req.headers[TIME_LEFT]);
     const prior = line.last;
@@ -149,6 +152,7 @@
       res,
       line,
       prior,
+      place: line.came,
       arrivedUs,
       tryId: String(req.headers[TRY_ID] ?? ""),
       budgetUs: arrivedUs + (Number.isFinite(left) && left > 0 ? left * MS : 60 * SECOND),
@@ -159,8 +163,7 @@
       calls: new Set(),
       heldBytes: 0,
       sends: 0,
-      mayHaveRun: false,
-      hasRun: false,
+      fate: new Fate(),
       linkMishap: false,
       stratum: "near|warm",
       over: false,
@@ -192,7 +195,7 @@
     if (length > table.limits.maxBodyBytes) return this.refuse(trip, "bodyTooLarge");
     if (!hasBody) return this.direct(trip);
     if (length > HELD_BODY_BYTES) {
-      trip.body = req;
+      trip.body = flowOf(req);
       return this.direct(trip);
     }
     const held = await within(clock, trip.budgetUs - clock.nowUs(), this.hold(trip), "slowBody" as const);
@@ -255,7 +258,7 @@
     const want = { service: trip.service, host, url: trip.req.url ?? "/", cacheForUs, mostAgeUs: cacheForUs, aimUs, untilUs: trip.budgetUs };
     const { range } = trip.req.headers;
     const got = await goods.fetch(want, trip.req.method === "GET" ? range : undefined);
-    if (trip.over || trip.line.closing) return;
+    if (trip.over || isBehindClose(trip)) return;
     if (got.kind === "none") this.refuse(trip, got.why === "rate" ? "noRate" : "full", got.why === "rate" ? Math.max(got.comeBackUs, RATE_REST_US) : got.comeBackUs);
     else this.answerKept(trip, got.status, got.heads, got.body);
   };
@@ -322,38 +325,55 @@
     if (route.kind === "keyed" && !(await this.claim(trip, route))) return;
     if (this.options.goods && (this.options.table.service(trip.service)?.ratePerS ?? 0) > 0 && !(await this.options.goods.permit(trip.service))) return this.refuse(trip, "noRate");
     let lastAnswer: Answer | undefined;
-    while (!trip.over && !trip.line.closing && trip.tried.size < route.tries + MOST_UNREACHED) {
+    while (!trip.over && !isBehindClose(trip) && trip.tried.size < route.tries + MOST_UNREACHED) {
       if (trip.sends > 0 && !(trip.sends < route.tries && isHeldBody(trip) && !this.isPressed(trip, route) && budgets.of(trip.service, kindOf(route.kind)).spend())) break;
       const worker = await this.gate.pass(trip, this.gateWaitUs(trip, route));
       if (trip.over || !worker) break;
+      if (this.isPast(trip)) return this.runOut(trip);
       if (this.wouldBeLate(trip, route, worker)) break;
       const verdict = await this.call(trip, route, worker);
+      if (verdict.kind === "answered" && !trip.fate.mayPass(verdict.answer.status, route.isSafe)) {
+        // It has run, and its status would promise that it has not.
+        verdict.answer.rest?.stop();
+        break;
+      }
       if (verdict.kind === "answered" && trip.claim) await this.keep(trip, verdict.answer);
-      if (trip.over || verdict.kind === "cancelled") return;
+      if (trip.over || verdict.kind === "cancelled") break;
       if (verdict.kind === "answered") {
         const isOwnMishap = verdict.answer.status >= 500;
         if (!isOwnMishap || !route.isSafe || trip.sends >= route.tries) return this.answer(trip, verdict.answer);
         lastAnswer = verdict.answer;
       } else if (verdict.kind === "lost" && !route.isSafe) break;
+      else if (verdict.kind === "unsent" && verdict.why === "unwritable") return this.refuse(trip, "malformed");
     }
-    if (trip.over) return;
-    if (lastAnswer) this.answer(trip, lastAnswer);
-    else this.refuse(trip, trip.mayHaveRun ? "lostAnswer" : "full");
+    if (trip.over) this.freeClaim(trip);
+    else if (lastAnswer) this.answer(trip, lastAnswer);
+    else this.refuse(trip, "lostAnswer");
   };
 
+  /** Neither its caller nor the operator wants it any more, whether or not the timer has said so yet. */
+  private readonly isPast = (trip: Trip): boolean => this.options.clock.nowUs() >= trip.budgetUs;
+
+  /**
+   * The last question before bytes leave for a worker. A connection may have come up only after the time was over, as
+   * when this node stood still meanwhile; a keyed request must still hold its claim.
+   */
+  private readonly mayBegin = (trip: Trip, route: Route): boolean =>
+    !trip.over && !this.isPast(trip) && (route.kind !== "keyed" || trip.claim !== undefined) && trip.fate.begin(route.isSafe);
+
   /** Calls one worker; a safe request whose worker has fallen silent is sent to a second one beside it. */
   private readonly call = async (trip: Trip, route: Route, worker: Worker): Promise<CallVerdict> => {
     const { clock, budgets } = this.options;
-    const first = this.start(trip, worker);
+    const first = this.start(trip, route, worker);
     if (!route.isSafe) return first.verdict;
     for (;;) {
       const early = await within(clock, SILENCE_CHECK_US, first.verdict, undefined);
       if (early) return early;
       if (trip.over) return { kind: "cancelled" };
-      if (!worker.isSilent() || this.isPressed(trip, route) || trip.sends >= route.tries || !isHeldBody(trip)) continue;
+      if (!worker.isSilent() || this.isPast(trip) || this.isPressed(trip, route) || trip.sends >= route.tries || !isHeldBody(trip)) continue;
       const other = this.chooser.choose(trip.service, trip.tried, trip.route?.aimUs ?? 0);
       if (!other || !budgets.of(trip.service, kindOf(route.kind)).spend()) continue;
-      const second = this.start(trip, other);
+      const second = this.start(trip, route, other);
       const [quick, slow] = await Promise.race([first.verdict.then(() => [first, second] as const), second.verdict.then(() => [second, first] as const)]);
       const verdict = await quick.verdict;
       if (verdict.kind !== "answered") return slow.verdict;
@@ -371,7 +391,7 @@
     return acts === true && !route.isSafe && yard.pressure(trip.service) === "overrun" && worker.guessUs(worker.usage(0)) > trip.budgetUs - clock.nowUs();
   };
 
-  private readonly start = (trip: Trip, worker: Worker): Calling => {
+  private readonly start = (trip: Trip, route: Route, worker: Worker): Calling => {
     const { clock, countFault, usage } = this.options;
     const startedUs = clock.nowUs();
     const heads = passOn(trip.req.rawHeaders, NOT_PASSED_ON);
@@ -379,29 +399,25 @@
     heads.push("Yewreel-Time-Left-Ms", String(leftMs), "Yewreel-Expect-Worker", worker.id);
     const length = trip.req.headers["content-length"];
     if (!isHeldBody(trip) && length !== undefined) heads.push("Content-Length", length);
-    const call = new WorkerCall(worker, { method: trip.req.method ?? "GET", path: trip.req.url ?? "/", heads, body: trip.body, tryId: trip.tryId, hold: (bytes) => this.takeRoom(trip, bytes) }, clock.nowUs);
+    const order = { method: trip.req.method ?? "GET", path: trip.req.url ?? "/", heads, body: trip.body, tryId: trip.tryId, hold: (bytes: number) => this.takeRoom(trip, bytes), mayBegin: () => this.mayBegin(trip, route) };
+    const call = new WorkerCall(worker, order, clock.nowUs);
     if (trip.sends === 0) trip.stratum = `${worker.cell === this.options.cell ? "near" : "far"}|${clock.nowUs() < worker.warmUntilUs ? "cold" : "warm"}`;
     trip.tried.add(worker.id);
     trip.sends += 1;
-    if (trip.route) this.options.countCall?.(trip.service, trip.route.kind, trip.route.name, worker.id);
+    this.options.countCall?.(trip.service, route.kind, route.name, worker.id);
     trip.calls.add(call);
     void call.verdict.then((verdict) => {
       trip.calls.delete(call);
       if (verdict.kind === "answered" || verdict.kind === "lost") usage?.answered(trip.service, worker.cell, clock.nowUs() - startedUs);
-      if (verdict.kind === "answered") trip.hasRun = true;
-      if (verdict.kind === "lost") {
-        trip.mayHaveRun = true;
-        worker.shun();
-      }
-      const isOut = verdict.kind === "not-run" && (verdict.why === "unreachable" || verdict.why === "refused");
-      if (isOut) {
-        worker.shun();
-        // Nothing of it arrived anywhere, so what is sent next is no retry.
-        trip.sends -= 1;
-      }
-      if (verdict.kind === "not-run" && verdict.why === "unreachable") trip.linkMishap = true;
-      if (verdict.kind === "not-run" && verdict.why === "other-worker") this.options.yard.misdirected(worker);
-      if (verdict.kind !== "cancelled") countFault(worker.id, verdict.kind === "lost" || isOut);
+      if (verdict.kind === "answered") trip.fate.ran();
+      if (verdict.kind === "turned-away") trip.fate.turnedAway();
+      // Nothing of it arrived anywhere, so what is sent next is no retry.
+      if (verdict.kind === "unsent") trip.sends -= 1;
+      const isOut = verdict.kind === "unsent" && (verdict.why === "unreachable" || verdict.why === "refused");
+      if (isOut || verdict.kind === "lost") worker.shun();
+      if (verdict.kind === "unsent" && verdict.why === "unreachable") trip.linkMishap = true;
+      if (verdict.kind === "turned-away" && verdict.why === "other-worker") this.options.yard.misdirected(worker);
+      if (verdict.kind === "answered" || verdict.kind === "turned-away" || verdict.kind === "lost" || isOut) countFault(worker.id, verdict.kind === "lost" || isOut);
       this.gate.wake();
     });
     return call;
@@ -414,27 +430,26 @@
   };
 
   /** The budget is over: whatever a worker still does for it is of no use to anyone. */
-  private readonly runOut = (trip: Trip): void => {
-    if (hasStarted(trip)) trip.mayHaveRun = true;
-    this.refuse(trip, trip.mayHaveRun || trip.sends > 0 ? "tooLate" : "full");
-  };
+  private readonly runOut = (trip: Trip): void => this.refuse(trip, "tooLate");
 
   /** Answer: the worker's own, unchanged. */
   private readonly answer = (trip: Trip, answer: Answer): void => {
     const { res } = trip;
-    if (trip.over || res.headersSent) return;
+    if (trip.over || res.headersSent) return answer.rest?.stop();
     const heads = passOn(answer.heads, answer.rest ? NONE : CONTENT_LENGTH);
-    if (!answer.rest && trip.req.method !== "HEAD") heads.push("Content-Length", String(answer.start.length));
+    if (!answer.rest && trip.req.method !== "HEAD" && answer.status !== 204 && answer.status !== 304) heads.push("Content-Length", String(answer.start.length));
     this.count(trip, answer.status < 400 ? "served" : String(answer.status));
     this.countSplit(trip, () => (answer.status >= 500 ? "lost" : this.waitedUs(trip) <= (trip.route?.aimUs ?? 0) ? "inTime" : "late"));
     this.markClosing(trip, false);
     res.writeHead(answer.status, heads);
     trip.over = true;
+    trip.fate.close();
     if (!answer.rest) {
       res.end(answer.start);
       return;
     }
     const { rest } = answer;
+    trip.onOver.push(rest.stop);
     res.write(answer.start);
     res.on("drain", rest.resume);
     rest.flow(
@@ -447,13 +462,14 @@
   };
 
   /** Answer: the gateway's own, by the table of outcomes. */
-  private readonly refuse = (trip: Trip, name: OutcomeName, comeBackUs = 0): void => {
+  private readonly refuse = (trip: Trip, wanted: OutcomeName, comeBackUs = 0): void => {
     const { res, route } = trip;
     if (trip.over || res.headersSent) return;
+    const name = trip.fate.tell(wanted);
     const outcome = OUTCOMES[name];
     if (name === "full" && trip.service !== "") this.options.usage?.refused(trip.service);
     this.count(trip, name);
-    this.countSplit(trip, () => (!trip.mayHaveRun && trip.linkMishap ? "own" : lossOf(trip, trip.mayHaveRun)));
+    this.countSplit(trip, () => (trip.fate.isUnrun && trip.linkMishap ? "own" : lossOf(trip)));
     this.markClosing(trip, outcome.closes);
     const body = JSON.stringify({ problem: outcome.problem });
     if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route, comeBackUs));
@@ -464,7 +480,7 @@
 
   private readonly markClosing = (trip: Trip, closes: boolean): void => {
     if (!closes && !((this.leaving || this.emptied) && trip.line.open === 1)) return;
-    trip.line.closing = true;
+    trip.line.closedBy = trip.place;
     trip.res.setHeader("Connection", "close");
   };
 
@@ -477,7 +493,7 @@
   private readonly abandoned = (trip: Trip): void => {
     this.count(trip, "caller left");
     if (this.waitedUs(trip) < (trip.budgetUs - trip.arrivedUs) * PATIENCE_PART) return;
-    this.countSplit(trip, () => lossOf(trip, trip.mayHaveRun || hasStarted(trip)));
+    this.countSplit(trip, () => lossOf(trip));
   };
 
   private readonly waitedUs = (trip: Trip): number => this.options.clock.nowUs() - trip.arrivedUs;
@@ -491,13 +507,14 @@
   private readonly end = (trip: Trip): void => {
     trip.over = true;
     this.freeClaim(trip);
+    trip.fate.close();
     // A keyed run whose caller is gone goes on, so that its answer can be kept for the repeats.
     if (!trip.claim || trip.res.writableEnded) trip.calls.forEach((call) => call.cancel());
     trip.onOver.splice(0).forEach((act) => act());
   };
 
   private readonly freeClaim = (trip: Trip): void => {
-    if (!trip.claim || trip.mayHaveRun || trip.hasRun || hasStarted(trip)) return;
+    if (!trip.claim || !trip.fate.isUnrun) return;
     this.options.desk?.free(trip.claim.key, trip.claim.token);
     trip.claim = undefined;
   };
@@ -508,7 +525,7 @@
       socket.destroy();
       return;
     }
-    if (line) line.closing = true;
+    if (line) line.closedBy = line.came;
     const name: OutcomeName = mishap.code === "HPE_HEADER_OVERFLOW" ? "headTooLarge" : mishap.code === "ERR_HTTP_REQUEST_TIMEOUT" ? "slowHead" : "malformed";
     const outcome = OUTCOMES[name];
     if (mishap.code === "ECONNRESET") socket.destroy();
@@ -519,11 +536,22 @@
 const NOT_KEPT: ReadonlySet<string> = new Set([TRY_ID, "content-length", "date", "yewreel-worker-load"]);
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
-/** Whether bytes of it may have reached a worker that it is still at. */
-const hasStarted = (trip: Trip): boolean => [...trip.calls].some((call) => call.hasStarted());
+/** A body as it comes. Its caller's connection outlives it: who stops reading it early still owes an answer. */
+const flowOf = (req: IncomingMessage): Readable => {
+  const flow = new PassThrough();
+  flow.on("error", () => undefined);
+  flow.once("close", () => req.resume());
+  req.once("close", () => {
+    if (!req.complete) flow.destroy();
+  });
+  return req.pipe(flow);
+};
+
+/** An answer before it closes the connection, so its caller counts it as not read and sends it again. */
+const isBehindClose = (trip: Trip): boolean => trip.place > trip.line.closedBy;
 
 /** An unsafe request that may have run may be placed again by its caller. */
-const lossOf = (trip: Trip, mayHaveRun: boolean): RolloutOutcome => (mayHaveRun && trip.route?.isSafe === false ? "doubled" : "lost");
+const lossOf = (trip: Trip): RolloutOutcome => (!trip.fate.isUnrun && trip.route?.isSafe === false ? "doubled" : "lost");
 
 const isHeldBody = (trip: Trip): boolean => trip.body === null || Buffer.isBuffer(trip.body);
 
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
 import type { Calling } from "./call.js";
+import type { Fate } from "./fate.js";
 import type { Route } from "./routes.js";
 
 /** The requests of one caller's connection, in the order they came. */
@@ -9,8 +10,10 @@
   open: number;
   /** Resolves once all that came before has been answered. */
   last: Promise<void>;
-  /** Set once an answer closes the connection: what came behind counts as not read and must not run any more. */
-  closing: boolean;
+  /** Requests that came so far. */
+  came: number;
+  /** Which of them, from 1, has the answer that closes the connection: what came behind counts as not read and must not run. */
+  closedBy: number;
 }
 
 /** One request on its way through the stages. */
@@ -19,6 +22,8 @@
   readonly res: ServerResponse;
   readonly line: Line;
   readonly prior: Promise<void>;
+  /** Its place on the line, from 1. */
+  readonly place: number;
   readonly arrivedUs: number;
   readonly tryId: string;
   /** When the caller and the operator both have given it up, on this process's clock. */
@@ -31,11 +36,10 @@
   readonly calls: Set<Calling>;
   /** What was taken of the room for held bodies on behalf of this request. */
   heldBytes: number;
+  /** Workers it was offered to, those left out that no byte of it left for. Invariant: never above the route's tries. */
   sends: number;
-  /** Set once some worker may have run it; from then on no promise may be given. */
-  mayHaveRun: boolean;
-  /** Set once a worker has answered it, which then has run it. */
-  hasRun: boolean;
+  /** What is known of whether it has run; what its caller is told follows from it alone. */
+  readonly fate: Fate;
   /** Set once a worker could not be reached in a way that may be this node's own link's doing. */
   linkMishap: boolean;
   /** Where the first worker asked stands to this node: near or far, warm or cold. */
