--- a/features/answers.feature
+++ b/features/answers.feature
@@ -16,3 +16,139 @@
       | 421 with another try's id               |
       | 503 with Not-Run and no id              |
       | 421 with no id                          |
+
+  Scenario Outline: Odd answers to an order: what its caller is told, and nothing sent twice
+    Given a front and a worker that keeps its connections
+    And another worker that answers well
+    When the first worker answers an order with <odd>
+    Then the order's caller is told <told> <whose>
+    And the order was sent <sent>, and what is told is true of what the workers saw
+    And the next requests get their own answers, whole
+
+    Examples: the worker's own word, whole
+      | odd                                               | told | whose                | sent                |
+      | a 500 with a seal                                 | 500  | by the first worker  | once                |
+      | a 404 with a seal                                 | 404  | by the first worker  | once                |
+      | a 204                                             | 204  | by the first worker  | once                |
+      | a whole answer that closes                        | 200  | by the first worker  | once                |
+      | a whole answer that closes, and more bytes        | 200  | by the first worker  | once                |
+      | a whole answer, and an extra one right behind it  | 200  | by the first worker  | once                |
+      | a whole answer, and an extra one a moment later   | 200  | by the first worker  | once                |
+      | a whole answer, and bytes of no protocol later    | 200  | by the first worker  | once                |
+      | a 103 and then a whole answer                     | 200  | by the first worker  | once                |
+      | a whole answer in small pieces                    | 200  | by the first worker  | once                |
+      | a whole answer in chunks                          | 200  | by the first worker  | once                |
+
+    Examples: turned away, so another worker may have it
+      | odd                                               | told | whose                | sent                |
+      | a 503 with Not-Run                                | 200  | by the second worker | to both             |
+      | a 400 with Not-Run                                | 200  | by the second worker | to both             |
+      | a 429 with Not-Run and no length, closed          | 200  | by the second worker | to both             |
+      | a 421                                             | 200  | by the second worker | to both             |
+
+    Examples: in doubt, so it may have run
+      | odd                                               | told | whose                | sent                |
+      | a 503 with a seal                                 | 502  | by the front         | once                |
+      | a 429 without Not-Run                             | 502  | by the front         | once                |
+      | a 408 with a seal                                 | 502  | by the front         | once                |
+      | a 200 with Not-Run                                | 502  | by the front         | once                |
+      | a 200 without a seal                              | 502  | by the front         | once                |
+      | a 200 with two ids                                | 502  | by the front         | once                |
+      | a 200 with an encoding                            | 502  | by the front         | once                |
+      | a 500 with another id                             | 502  | by the front         | once                |
+      | a 500 cut short                                   | 502  | by the front         | once                |
+      | a 200 cut short                                   | 502  | by the front         | once                |
+      | a 503 with Not-Run cut short                      | 502  | by the front         | once                |
+      | chunks cut short                                  | 502  | by the front         | once                |
+      | a body that ends with the connection              | 502  | by the front         | once                |
+      | an unknown transfer coding                        | 502  | by the front         | once                |
+      | two lengths                                       | 502  | by the front         | once                |
+      | a 204 with a length and a body                    | 502  | by the front         | once                |
+      | a 100 that nobody asked for                       | 502  | by the front         | once                |
+      | a 101                                             | 502  | by the front         | once                |
+      | a head that is too large                          | 502  | by the front         | once                |
+
+  Scenario: A HEAD whose answer has a body costs the next request nothing
+    Given a front and a worker that keeps its connections
+    When the worker answers a HEAD with a body
+    Then the HEAD is told 200 and no body
+    And the next requests get their own answers, whole
+
+  Scenario Outline: Connections reset at each moment: "nothing was sent" is said only of what no socket saw
+    Given a front and a worker that keeps its connections
+    And another worker that answers well
+    When the first worker's connection is reset <moment>
+    Then the order's caller is told <told> <whose>
+    And what is told is true of what the workers saw
+
+    Examples:
+      | moment                                       | told | whose                |
+      | before it is up                              | 200  | by the second worker |
+      | as soon as it is up                          | 502 or 200 | by the front or the second worker |
+      | while it rests                               | 200  | by the first worker  |
+      | at the first byte                            | 502  | by the front         |
+      | amid a long body                             | 502  | by the front         |
+      | after the body                               | 502  | by the front         |
+      | amid the answer's head                       | 502  | by the front         |
+      | amid the answer's body                       | 502  | by the front         |
+
+  Scenario Outline: An answer that comes before a long body was sent reaches its caller
+    Given a front and a worker that keeps its connections
+    When the worker answers <early> after the head of a long order
+    Then the order's caller is told <told> by the <who>
+    And the caller's connection serves another request
+
+    Examples:
+      | early              | told | who          |
+      | a 413 with a seal  | 413  | first worker |
+      | a 503 with Not-Run | 503  | front        |
+
+  Scenario: A request with no id has no answer of its own, so it is not sent
+    Given a front and a worker that keeps its connections
+    When an order comes without an id
+    Then the order's caller is told 400 by the front
+    And no worker saw an order
+
+  Scenario: A method that can't be written, or bytes that can't be, count against no worker
+    Given a front and a worker that keeps its connections
+    When a caller sends a request of the method "PROPFIND"
+    Then the worker saw the method "PROPFIND"
+    And no worker is shunned
+
+  Scenario: Two requests without waiting, and a reset between: nothing is left behind
+    Given a front and a worker that keeps its connections
+    And the first worker is silent
+    When a caller sends a read and an order behind it, and resets the connection
+    Then nothing is open any more
+    And no worker saw an order
+
+  Scenario: A caller that leaves amid a large answer ends the worker's call
+    Given a front and a worker that keeps its connections
+    When a caller leaves amid a large answer
+    Then nothing is open any more
+    And the worker's connection is closed
+
+  Scenario Outline: After a standstill no deadline that has passed leads to a new sending
+    Given a front and a worker that keeps its connections
+    And another worker that answers well
+    When the front stands still beyond the deadline <while>
+    Then nothing is sent for the order after that
+    And the order's caller is told <told>, or has left
+
+    Examples:
+      | while                                        | told |
+      | and the first worker turns the order away    | 503  |
+      | and a connection comes up                    | 503  |
+      | and an order lies unread whose caller left   | 503  |
+
+  Scenario: Whatever goes wrong, one try is never sent to more workers than its route's tries
+    Given a front with workers that refuse, reset, are full, fail and are silent, two of each
+    When 60 reads are sent, one after the other
+    Then no try was seen by more than 2 workers
+
+  Scenario: A keyed order that is turned away after its caller left frees its key
+    Given a front and a worker that keeps its connections
+    When a keyed order's caller leaves, and then the worker turns it away
+    Then the key is free
+    When a keyed order's caller leaves, and then the worker's connection is reset
+    Then the key is not free
--- a/fuzz/rig.ts
+++ b/fuzz/rig.ts
@@ -7,7 +7,7 @@
 import { RetryBudgets } from "../src/traction/retry-budget.js";
 import { RouteTable } from "../src/traction/routes.js";
 import { Yard } from "../src/traction/yard.js";
-import type { Clock } from "../src/trackbed/clock.js";
+import type { Clock, Pulse } from "../src/trackbed/clock.js";
 import { silentLog } from "../src/trackbed/log.js";
 import { defaultLimits, type RouteKind } from "../src/trackbed/retry-limits.js";
 import type { Message } from "../src/trackbed/wire.js";
@@ -64,11 +64,27 @@
   };
 }
 
+/** A clock that can leap: the time is another one at once, and what fell due meanwhile acts only afterwards. */
+export class LeapingClock implements Clock {
+  private leaptUs = 0;
+
+  constructor(private readonly own: ManualClock) {}
+
+  readonly nowUs = (): number => this.own.nowUs() + this.leaptUs;
+  readonly after = (waitUs: number, act: () => void): Pulse => this.own.after(waitUs, act);
+  readonly every = (gapUs: number, act: () => void): Pulse => this.own.every(gapUs, act);
+
+  /** As after a process stood still: what lies at its sockets is read before any timer acts. */
+  readonly leap = (spanUs: number): void => {
+    this.leaptUs += spanUs;
+  };
+}
+
 export interface RigOptions {
   readonly plan?: string;
   readonly random?: () => number;
-  /** The clock the front goes by, where it is not the rig's own. */
-  readonly clockOf?: (own: ManualClock) => Clock;
+  /** What the front goes by instead of the rig's leaping clock. */
+  readonly clockOf?: (own: LeapingClock) => Clock;
   readonly ask?: (message: Message) => Promise<Message | undefined>;
   readonly retryRatio?: number;
 }
@@ -78,17 +94,20 @@
 /** One front with its yard on a clock of its own, on an address that no other rig or process of this machine has. */
 export class Rig {
   readonly clock = new ManualClock();
+  readonly leaping = new LeapingClock(this.clock);
   readonly book = new OneBook();
   readonly board: Board;
   readonly yard: Yard;
   readonly front: Front;
   readonly host: string;
   readonly port: number;
+  /** Called when a worker has been chosen and the connection is begun. */
+  onCall: () => void = () => undefined;
   readonly retriesOf: (kind: RouteKind) => number;
 
   constructor(options: RigOptions = {}) {
     const { clockOf, random = Math.random, retryRatio = 100, plan = planOf(), ask = this.book.ask } = options;
-    const clock = clockOf?.(this.clock) ?? this.clock;
+    const clock = clockOf?.(this.leaping) ?? this.leaping;
     rigs += 1;
     this.host = `127.${64 + ((process.pid >> 8) % 64)}.${process.pid & 255}.${(rigs % 250) + 1}`;
     this.port = 12_000 + Math.floor(rigs / 250);
@@ -109,6 +128,7 @@
       countFault: () => undefined,
       tally: () => undefined,
       countRollout: () => undefined,
+      countCall: () => this.onCall(),
       random,
       desk: new KeyDesk(clock, ask, this.book.tell),
     });
--- a/src/trackbed/outcomes.ts
+++ b/src/trackbed/outcomes.ts
@@ -20,6 +20,7 @@
   staleVersion: row(409, "not the version in force"),
   notStopped: row(409, "nothing is stopped there"),
   noKey: row(400, "an operation key of 1 to 200 signs is wanted"),
+  noTryId: row(400, "a Yewreel-Try-Id is wanted"),
   keyAtWork: row(409, "the key is at work"),
   pastTheEnd: row(416, "past the end"),
   unknownWindow: row(404, "no such window"),
--- a/src/traction/call.ts
+++ b/src/traction/call.ts
@@ -1,6 +1,6 @@
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
-import { headOf, NOT_RUN, SEAL, TRY_ID, USAGE, type FlatHeads } from "./heads.js";
+import { headOf, isDoubled, NOT_RUN, SEAL, TRY_ID, USAGE, type FlatHeads } from "./heads.js";
 import type { Worker } from "./yard.js";
 
 export interface Order {
@@ -69,7 +69,7 @@
 /** Whether an answer is to this very try. Nothing may be concluded from one that isn't: not even that it did not run. */
 const isOwn = (heads: FlatHeads, { tryId, alone }: Order): boolean => {
   const told = headOf(heads, TRY_ID);
-  return told === tryId || (alone === true && told === undefined);
+  return (told === tryId && !isDoubled(heads, TRY_ID)) || (alone === true && told === undefined);
 };
 
 /** Whether the worker says that it turned the request away. Only to be asked of an own answer. */
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -63,6 +63,8 @@
 const MOST_UNREACHED = 2;
 const MOST_KEY = 200;
 /** Caches fill at the origin's rate: who comes back at once after a refusal for it finds the same. */
+const STANDSTILL_US = 250 * MS;
+const RESUMING_US = 50 * MS;
 const RATE_REST_US = 1 * SECOND;
 const SPLIT_REST_US = 30 * MS;
 const NOT_PASSED_ON: ReadonlySet<string> = new Set([TIME_LEFT, EXPECT_WORKER, "content-length", "expect"]);
@@ -81,6 +83,9 @@
   private open = 0;
   private leaving = false;
   private emptied = false;
+  private lastArrivalUs = Number.NEGATIVE_INFINITY;
+  /** When requests last came after a time in which none did: this process may have stood still meanwhile. */
+  private resumedUs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FrontOptions) {
     const { yard, cell, random, connectionShare, clock, acts } = options;
@@ -140,11 +145,12 @@
 
   private readonly arrive = (req: IncomingMessage, res: ServerResponse): void => {
     const { clock } = this.options;
-    const line = this.lines.get(req.socket) ?? { open: 0, last: Promise.resolve(), came: 0, closedBy: Infinity };
-    this.lines.set(req.socket, line);
+    const line = this.lines.get(req.socket) ?? this.newLine(req.socket);
     if (line.closedBy !== Infinity) return;
     line.came += 1;
     const arrivedUs = clock.nowUs();
+    if (arrivedUs - this.lastArrivalUs > STANDSTILL_US) this.resumedUs = arrivedUs;
+    this.lastArrivalUs = arrivedUs;
     const left = Number(req.headers[TIME_LEFT]);
     const prior = line.last;
     const trip: Trip = {
@@ -170,26 +176,41 @@
       onOver: [],
       claim: undefined,
     };
-    line.open += 1;
     this.open += 1;
     line.last = new Promise((resolve) => {
-      res.once("close", () => {
-        line.open -= 1;
+      const close = () => {
+        if (!line.closers.delete(close)) return;
         this.open -= 1;
         if (!trip.over) this.abandoned(trip);
         this.end(trip);
         this.room.give(trip.heldBytes);
         trip.heldBytes = 0;
         resolve();
-      });
+      };
+      line.closers.add(close);
+      res.once("close", close);
     });
     if (!this.reading.offer(trip)) this.refuse(trip, "full");
   };
 
+  /** An answer that waits behind another's never hears that their connection has closed; so the line tells it. */
+  private readonly newLine = (socket: Socket): Line => {
+    const line: Line = { closers: new Set(), last: Promise.resolve(), came: 0, closedBy: Infinity };
+    this.lines.set(socket, line);
+    socket.once("close", () => [...line.closers].forEach((close) => close()));
+    return line;
+  };
+
   /** Read: the body, if it is small enough to hold. */
   private readonly read = async (trip: Trip): Promise<void> => {
     const { table, clock } = this.options;
     const { req } = trip;
+    if (trip.arrivedUs - this.resumedUs <= RESUMING_US) {
+      // What lay unread may be its caller's leaving too, which the next turn of the loop reads.
+      await turn();
+      await turn();
+      if (trip.over) return;
+    }
     const length = Number(req.headers["content-length"] ?? 0);
     const hasBody = length > 0 || req.headers["transfer-encoding"] !== undefined;
     if (length > table.limits.maxBodyBytes) return this.refuse(trip, "bodyTooLarge");
@@ -247,6 +268,7 @@
       void this.give(trip, route, goods, host);
       return;
     }
+    if (trip.tryId === "") return this.refuse(trip, "noTryId");
     budgets.of(trip.service, kindOf(route.kind)).count();
     this.options.usage?.arrived(trip.service);
     if (!this.carrying.offer(trip)) this.refuse(trip, "full");
@@ -479,7 +501,7 @@
   };
 
   private readonly markClosing = (trip: Trip, closes: boolean): void => {
-    if (!closes && !((this.leaving || this.emptied) && trip.line.open === 1)) return;
+    if (!closes && !((this.leaving || this.emptied) && trip.line.closers.size === 1)) return;
     trip.line.closedBy = trip.place;
     trip.res.setHeader("Connection", "close");
   };
@@ -521,7 +543,7 @@
 
   private readonly malformed = (mishap: NodeJS.ErrnoException, socket: Socket): void => {
     const line = this.lines.get(socket);
-    if (!socket.writable || (line !== undefined && line.open > 0)) {
+    if (!socket.writable || (line !== undefined && line.closers.size > 0)) {
       socket.destroy();
       return;
     }
@@ -536,15 +558,18 @@
 const NOT_KEPT: ReadonlySet<string> = new Set([TRY_ID, "content-length", "date", "yewreel-worker-load"]);
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
+const turn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
 /** A body as it comes. Its caller's connection outlives it: who stops reading it early still owes an answer. */
 const flowOf = (req: IncomingMessage): Readable => {
-  const flow = new PassThrough();
+  const flow = req.pipe(new PassThrough());
   flow.on("error", () => undefined);
+  // After pipe's own listener, which pauses it.
   flow.once("close", () => req.resume());
   req.once("close", () => {
     if (!req.complete) flow.destroy();
   });
-  return req.pipe(flow);
+  return flow;
 };
 
 /** An answer before it closes the connection, so its caller counts it as not read and sends it again. */
--- a/src/traction/heads.ts
+++ b/src/traction/heads.ts
@@ -42,4 +42,17 @@
     .flatMap(([name, value]) => [name, value]);
 };
 
-export const headOf = (heads: FlatHeads, name: string): string | undefined => pairs(heads).find(([other]) => other.toLowerCase() === name)?.[1];
+/** The first value under a name, which is given in small letters. */
+export const headOf = (heads: FlatHeads, name: string): string | undefined => {
+  for (let at = 0; at + 1 < heads.length; at += 2) if (isNamed(heads[at], name)) return heads[at + 1];
+  return undefined;
+};
+
+/** Whether there is more than one value under a name. */
+export const isDoubled = (heads: FlatHeads, name: string): boolean => {
+  let found = 0;
+  for (let at = 0; at + 1 < heads.length; at += 2) if (isNamed(heads[at], name)) found += 1;
+  return found > 1;
+};
+
+const isNamed = (head: string | undefined, name: string): boolean => head !== undefined && head.length === name.length && head.toLowerCase() === name;
