--- a/features/inspection.feature
+++ b/features/inspection.feature
@@ -6,7 +6,7 @@
   Scenario: One bad worker among many is ejected, and says why
     When worker 3 has 40 faults and every other one 1
     Then only worker 3 is ejected
-    And the ejection names the counts, the share, the token and the epoch
+    And the ejection names the counts, the share, the token and the term
 
   Scenario: A fleet-wide rise ejects nobody
     When every worker has 40 faults
@@ -29,7 +29,7 @@
     Then nobody is ejected
 
   Scenario: A stale holder cannot eject
-    Given a newer epoch refuses what the inspector publishes
+    Given a newer term refuses what the inspector publishes
     When worker 3 has 40 faults and every other one 0
     Then nobody is ejected
 
--- a/features/plan.feature
+++ b/features/plan.feature
@@ -25,9 +25,36 @@
     When the operator puts route "r1" at version 3 through box 3
     Then reading through box 1 gives no route "r1"
 
-  Scenario: Two operators write the same version at once and every copy ends alike
+  Scenario: Two operators write the same version at once: one is confirmed, for good
     When two operators put different routes "r1" at version 4 through boxes 1 and 2 at once
-    Then reading through each box gives the same route "r1"
+    And both send the same again through box 3, 2 times
+    Then exactly one of the two was ever confirmed, and never refused
+    And reading through each box gives the same route "r1"
+    And reading through box 2 gives route "r1" as it was put first
+
+  Scenario: Another content under an agreed number is refused, and no part of that order is in force
+    Given the operator puts route "r1" at version 9 through box 1
+    When the operator puts routes "r1" and "r2" at version 9 through box 2
+    Then the last order is "conflict"
+    And no box has ever shown route "r2"
+    And reading through box 3 gives route "r1" as it was put first
+
+  Scenario: An order that was taken is acknowledged again, after newer ones, at any box, after every box was started again
+    Given the operator puts route "r1" at version 5 through box 1
+    And the operator puts route "r1" at version 8 through box 2
+    And the operator puts route "r1" at version 6 through box 2
+    When every box is killed
+    And every box is started again
+    Then the change to route "r1" at version 5 is acknowledged again through box 3
+    And the change to route "r1" at version 6 is acknowledged again through box 1
+    And reading through box 4 gives route "r1" at version 8
+
+  Scenario: What no quorum took is not shown, and is either agreed as a whole or never in force
+    When only box 1 has accepted route "r1" at version 7, offered through box 1
+    Then the last order is "no-quorum"
+    And no box has ever shown route "r1"
+    When someone reads through box 2
+    Then reading through each box gives the same route "r1", or none
 
   Scenario: What was acknowledged survives the loss of one disk while all others lose power
     Given every box is on the roster
@@ -49,12 +76,17 @@
     And someone reads through box 3
     Then the copy of box 3 holds route "r1" at version 7
 
-  Scenario: A version file that is torn is passed over for the one before
-    Given the operator puts route "r1" at version 7 through box 1
-    And the operator puts route "r1" at version 8 through box 1
-    When every box is killed and the newest file of box 1 is torn
-    And every box is started again
-    Then reading through box 1 gives route "r1" at version 8
+  Scenario: A box with a spoiled file counts for nothing until it has caught up
+    Given the operator puts route "r1" at version 6 through box 1
+    And the operator puts route "r1" at version 7 through box 1
+    When one byte of the newest file of box 2 is spoiled
+    And box 2 is started again cut off from all others
+    Then box 2 is not counting
+    And reading through box 2 fails
+    When box 2 is joined again
+    And someone reads through box 2
+    Then the copy of box 2 holds route "r1" at version 7
+    And reading through box 2 gives route "r1" at version 7
 
   Scenario: A random history of changes, cuts and kills loses nothing that was acknowledged
     Given every box is on the roster
--- a/features/steps/inspection.ts
+++ b/features/steps/inspection.ts
@@ -90,7 +90,7 @@
     terms: TRIAL_TERMS,
     random: seeded(5),
     isHolder: () => holds,
-    epoch: () => 256,
+    term: () => 256,
     splitRoutes: () => [route],
     previousMain: () => "old",
     state: () => state,
@@ -148,7 +148,7 @@
   const [stop] = state.stops;
   assert.deepEqual([stop?.candidate, stop?.route, stop?.baseline, stop?.version], [fresh, name, old, 7]);
   assert.match(stop?.reason ?? "", /(8 of the candidate's 100|14 of the candidate's 336) requests/);
-  assert.ok(stop?.evidence["candidate"] && stop.evidence["epoch"] === 256);
+  assert.ok(stop?.evidence["candidate"] && stop.evidence["term"] === 256);
 });
 Then("{int} requests of {string} are counted", (count: number, fresh: string) => {
   const row = rollouts.list().find((one) => one["candidate"] === fresh);
@@ -185,7 +185,7 @@
     log: silentLog,
     terms: TERMS,
     isHolder: () => true,
-    epoch: () => 256,
+    term: () => 256,
     workers: () => workers,
     decisions: () => decisions,
     publish: async (wanted) => {
@@ -222,7 +222,7 @@
   inspector = newInspector();
   await inspector.tick();
 });
-Given("a newer epoch refuses what the inspector publishes", () => {
+Given("a newer term refuses what the inspector publishes", () => {
   isFenced = true;
 });
 Given("only {int} workers of the service are left", (count: number) => {
@@ -254,10 +254,10 @@
 Then("only worker {int} is ejected", (bad: number) => assert.deepEqual(decisions.ejections.map(({ worker }) => worker), [`w${bad}`]));
 Then("worker {int} is ejected", (bad: number) => assert.ok(decisions.ejections.some(({ worker }) => worker === `w${bad}`)));
 Then("nobody is ejected", () => assert.deepEqual(decisions.ejections, []));
-Then("the ejection names the counts, the share, the token and the epoch", () => {
+Then("the ejection names the counts, the share, the token and the term", () => {
   const [ejection] = decisions.ejections;
   assert.match(ejection?.reason ?? "", /w3 holds 40 of 51 faults \(78%\)/);
-  assert.deepEqual(ejection?.evidence, { faults: 40, ofFaults: 51, share: 40 / 51, token: "taken", epoch: 256 });
+  assert.deepEqual(ejection?.evidence, { faults: 40, ofFaults: 51, share: 40 / 51, token: "taken", term: 256 });
 });
 Then("traffic is shifted away from cell {int}", (cell: number) => assert.equal(decisions.shift?.cell, `c${cell}`));
 Then("a practice shift has been made and is over", () => {
--- a/features/steps/keys.ts
+++ b/features/steps/keys.ts
@@ -3,7 +3,6 @@
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { KeyVerdict } from "../../src/interlocking/keys.js";
-import { rosterRegister } from "../../src/interlocking/ledger.js";
 import { Copies } from "../support/copies.js";
 
 interface Try {
@@ -23,26 +22,14 @@
   return boxes;
 };
 
-/** Moves the clock on beside the work, so that waits for those who are gone come to their end. */
-const beside = async <T>(work: Promise<T>): Promise<T> => {
-  let isDone = false;
-  const finished = work.finally(() => {
-    isDone = true;
-  });
-  for (let step = 0; step < 2_000 && !isDone; step += 1) await net().clock.pass(5_000);
-  return finished;
-};
+const beside = <T>(work: Promise<T>): Promise<T> => net().beside(work);
 
-const open = async (count: number, withstand: number, diskBytes?: number): Promise<void> => {
+const open = async (count: number, withstand: number, diskBytes = 8_000_000): Promise<void> => {
   await boxes?.clean();
   history = [];
   boxes = new Copies(IDS.slice(0, count), withstand, diskBytes);
   await boxes.startAll();
-  for (const id of boxes.ids) {
-    const { ledger } = boxes.copy(id);
-    ledger.merge([rosterRegister(2, boxes.ids)]);
-    await ledger.safe();
-  }
+  await boxes.enrol(boxes.ids);
   await catchUp();
 };
 
--- a/features/steps/plan.ts
+++ b/features/steps/plan.ts
@@ -1,36 +1,40 @@
 import assert from "node:assert/strict";
-import { readdir, readFile, writeFile } from "node:fs/promises";
-import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { layOut, readCall, unknownService } from "../../src/interlocking/check.js";
 import { Archive } from "../../src/interlocking/archive.js";
+import { Copy as State } from "../../src/interlocking/copy.js";
 import { makeRegister, type Register } from "../../src/interlocking/register.js";
-import { rosterRegister } from "../../src/interlocking/ledger.js";
+import type { LedgerMishap } from "../../src/interlocking/ledger.js";
 import { asRec, parseJson, type Rec } from "../../src/trackbed/shape.js";
-import { Copies, type Copy } from "../support/copies.js";
+import { Copies, STATE_FOLDER, type Copy } from "../support/copies.js";
 import { settle } from "../support/manual-clock.js";
 
 const BOXES = ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"];
-const box = (number: number): string => BOXES[number - 1] ?? "";
+/** Those that come later, in place of others. */
+const SPARE = ["10.0.0.5:80", "10.0.0.6:80", "10.0.0.7:80"];
+const box = (number: number): string => [...BOXES, ...SPARE][number - 1] ?? "";
 const key = (name: string): string => `route/${name}`;
 
 let copies = new Copies([]);
 let acknowledged = false;
 let first = "";
 const acks = new Map<string, number>();
+/** What became of each order, in the order they were sent. */
+const outcomes: { readonly body: string; readonly outcome: Outcome }[] = [];
 
-const put = async (name: string, version: number, through: string, body = `{"v":${version},"name":"${name}"}`, dropped = false): Promise<boolean> => {
-  const { ledger } = copies.copy(through);
-  const read = await ledger.read();
-  if (read.isErr) return false;
-  const written = await ledger.write([makeRegister(key(name), version, dropped ? "" : body, dropped)]);
-  return written.isOk;
+type Outcome = "taken" | LedgerMishap["kind"];
+
+const offer = async (name: string, version: number, through: string, body = `{"v":${version},"name":"${name}"}`, dropped = false): Promise<Outcome> => {
+  const done = await copies.beside(copies.copy(through).ledger.offer([makeRegister(key(name), version, dropped ? "" : body, dropped)]));
+  return done.isOk ? "taken" : done.error.kind;
 };
 
+const put = async (name: string, version: number, through: string, body?: string, dropped = false): Promise<boolean> => (await offer(name, version, through, body, dropped)) === "taken";
+
 const readThrough = async (id: string, name: string): Promise<Register | undefined> => {
   const { ledger } = copies.copy(id);
-  const mended = await ledger.readAndMend();
-  assert.ok(mended.isOk, `reading through ${id} failed`);
+  const read = await copies.beside(ledger.read());
+  assert.ok(read.isOk, `reading through ${id} failed: ${JSON.stringify(read)}`);
   return ledger.get(key(name));
 };
 
@@ -40,17 +44,15 @@
 });
 
 Given("{int} signalboxes of which 3 are seeds", async (count: number) => {
-  copies = new Copies(BOXES.slice(0, count));
+  copies = new Copies([...BOXES.slice(0, count), ...SPARE]);
   acks.clear();
+  outcomes.length = 0;
   first = "";
-  await copies.startAll();
+  for (const id of BOXES.slice(0, count)) await copies.start(id, true);
 });
 
 Given("every box is on the roster", async () => {
-  for (const id of BOXES) await copies.copy(id).ledger.read();
-  const written = await copies.copy(box(1)).ledger.write([rosterRegister(2, BOXES)]);
-  assert.ok(written.isOk);
-  for (const id of BOXES) assert.ok((await copies.copy(id).ledger.readAndMend()).isOk);
+  await copies.enrol(BOXES);
 });
 
 Given("box {int} is cut off", (number: number) => {
@@ -75,8 +77,81 @@
 });
 
 When("two operators put different routes {string} at version {int} through boxes {int} and {int} at once", async (name: string, version: number, one: number, other: number) => {
-  const both = await Promise.all([put(name, version, box(one), '{"by":"one"}'), put(name, version, box(other), '{"by":"other"}')]);
-  assert.deepEqual(both, [true, true]);
+  const bodies = ['{"by":"one"}', '{"by":"other"}'];
+  const both = await Promise.all(bodies.map((body, at) => offer(name, version, box(at === 0 ? one : other), body)));
+  both.forEach((outcome, at) => outcomes.push({ body: bodies[at] ?? "", outcome }));
+});
+
+When("both send the same again through box {int}, {int} times", async (number: number, times: number) => {
+  for (let time = 0; time < times; time += 1) {
+    for (const { body } of outcomes.slice(0, 2)) outcomes.push({ body, outcome: await offer("r1", 4, box(number), body) });
+  }
+});
+
+Then("exactly one of the two was ever confirmed, and never refused", () => {
+  const confirmed = new Set(outcomes.filter(({ outcome }) => outcome === "taken").map(({ body }) => body));
+  const refused = new Set(outcomes.filter(({ outcome }) => outcome === "conflict").map(({ body }) => body));
+  assert.equal(confirmed.size, 1, JSON.stringify(outcomes));
+  assert.ok([...confirmed].every((body) => !refused.has(body)), JSON.stringify(outcomes));
+  first = [...confirmed][0] ?? "";
+});
+
+When("the operator puts routes {string} and {string} at version {int} through box {int}", async (one: string, other: string, version: number, number: number) => {
+  const call = [one, other].map((name) => makeRegister(key(name), version, `{"together":"${name}"}`));
+  const done = await copies.beside(copies.copy(box(number)).ledger.offer(call));
+  outcomes.push({ body: "", outcome: done.isOk ? "taken" : done.error.kind });
+});
+
+Then("the last order is {string}", (outcome: string) => assert.equal(outcomes.at(-1)?.outcome, outcome));
+
+Then("the change to route {string} at version {int} is acknowledged again through box {int}", async (name: string, version: number, number: number) => {
+  assert.equal(await offer(name, version, box(number)), "taken");
+});
+
+When("only box {int} has accepted route {string} at version {int}, offered through box {int}", async (only: number, name: string, version: number, through: number) => {
+  copies.deaf = (to, message) => message.kind === "accept" && to !== box(only);
+  outcomes.push({ body: "", outcome: await offer(name, version, box(through), '{"half":true}') });
+  copies.deaf = () => false;
+});
+
+Then("no box has ever shown route {string}", (name: string) => {
+  copies.running.forEach(({ ledger }) => assert.equal(ledger.get(key(name)), undefined));
+});
+
+When("one byte of the newest file of box {int} is spoiled", async (number: number) => {
+  await copies.kill(box(number));
+  const { files } = copies.diskOf(box(number));
+  const numberOf = (name: string) => Number(/(\d+)\.bin$/.exec(name)?.[1]);
+  const newest = [...files.keys()].filter((name) => name.endsWith(".bin")).sort((a, b) => numberOf(b) - numberOf(a))[0] ?? "";
+  const bytes = Uint8Array.from(files.get(newest) ?? []);
+  bytes[bytes.length - 5] = (bytes[bytes.length - 5] ?? 0) ^ 1;
+  files.set(newest, bytes);
+});
+
+When("box {int} is started again cut off from all others", async (number: number) => {
+  copies.cut.add(box(number));
+  await copies.start(box(number), false);
+});
+
+When("box {int} is gone for good and box {int} comes in its place", async (gone: number, fresh: number) => {
+  await copies.wipe(box(gone));
+  const copy = await copies.start(box(fresh), false);
+  copy.duty.start();
+  await pass(6);
+});
+
+Then("the roster has boxes {string}", (numbers: string) => {
+  const wanted = numbers.split(",").map((number) => box(Number(number))).sort();
+  copies.running.forEach((copy) => assert.deepEqual(copy.ledger.roster().members, wanted, copy.id));
+});
+
+When("the operator puts route {string} at version {int} through a running box", async (name: string, version: number) => {
+  if (first === "") first = `{"v":${version},"name":"${name}"}`;
+  acknowledged = await put(name, version, [...copies.running.keys()].find((id) => !copies.cut.has(id)) ?? "");
+});
+
+Then("reading through a running box gives route {string} as it was put first", async (name: string) => {
+  assert.equal((await readThrough([...copies.running.keys()].find((id) => !copies.cut.has(id)) ?? "", name))?.body, first);
 });
 
 When("box {int} loses its disk and every box is started again", async (number: number) => {
@@ -84,7 +159,7 @@
   await copies.wipe(box(number));
   await copies.killAll();
   for (const id of BOXES) await copies.start(id, false);
-  for (const id of BOXES) await copies.copy(id).ledger.read();
+  await copies.readAll();
 });
 
 When("box {int} loses its disk and starts again cut off from all others", async (number: number) => {
@@ -94,16 +169,7 @@
 });
 
 When("someone reads through box {int}", async (number: number) => {
-  assert.ok((await copies.copy(box(number)).ledger.readAndMend()).isOk);
-});
-
-When("every box is killed and the newest file of box {int} is torn", async (number: number) => {
-  await settle(20);
-  await copies.killAll();
-  const folder = copies.folderOf(box(number));
-  const newest = (await readdir(folder)).filter((name) => name.endsWith(".bin")).sort((a, b) => Number(/\d+/.exec(b)) - Number(/\d+/.exec(a)))[0] ?? "";
-  const bytes = await readFile(join(folder, newest));
-  await writeFile(join(folder, newest), bytes.subarray(0, bytes.length / 2));
+  assert.ok((await copies.beside(copies.copy(box(number)).ledger.read())).isOk);
 });
 
 When("every box is started again", async () => {
@@ -143,17 +209,17 @@
       await settle(20);
       await copies.killAll();
       for (const other of BOXES) if (other !== hurt) await copies.start(other, false);
-      for (const other of BOXES) if (other !== hurt) await copies.copy(other).ledger.read();
+      await copies.readAll();
     } else if (hurt !== "") {
       copies.cut.delete(hurt);
       if (!copies.running.has(hurt)) await copies.start(hurt, false);
-      await copies.copy(hurt).ledger.read();
+      await copies.readAll();
       hurt = "";
     }
   }
   copies.cut.clear();
   for (const id of BOXES) if (!copies.running.has(id)) await copies.start(id, false);
-  for (const id of BOXES) await copies.copy(id).ledger.read();
+  await copies.readAll();
 });
 
 Then("every acknowledged version is read back, or a higher one", async () => {
@@ -168,8 +234,12 @@
 
 Then("at least {int} copies hold route {string} at version {int} on their disks", async (count: number, name: string, version: number) => {
   await settle(20);
-  const loaded = await Promise.all(BOXES.map((id) => new Archive(copies.folderOf(id), () => []).load()));
-  const holding = loaded.filter((registers) => registers?.some((register) => register.key === key(name) && register.version === version));
+  const loaded = await Promise.all(BOXES.map((id) => new Archive({ folder: STATE_FOLDER, disk: copies.diskOf(id), snapshot: () => [] }).load()));
+  const holding = loaded.filter((found) => {
+    const state = new State();
+    if (found.kind !== "empty") found.records.forEach(state.replay);
+    return found.kind === "whole" && state.entry(key(name)).register?.version === version;
+  });
   assert.ok(holding.length >= count, `${holding.length} copies hold it`);
 });
 
@@ -192,10 +262,31 @@
   assert.ok(!bodies.has("none"));
 });
 
+When("every box is killed", async () => {
+  await settle(20);
+  await copies.killAll();
+});
+
+When("box {int} comes with an empty disk", async (number: number) => {
+  (await copies.start(box(number), false)).duty.start();
+});
+
+Then("the roster has box {int} and not box {int} on the boxes in reach", (there: number, gone: number) => {
+  [...copies.running.values()].filter(({ id }) => !copies.cut.has(id)).forEach(({ ledger, id }) => {
+    assert.ok(ledger.members().includes(box(there)) && !ledger.members().includes(box(gone)), `${id}: ${ledger.members().join()}`);
+  });
+});
+
+Then("reading through each box gives the same route {string}, or none", async (name: string) => {
+  const bodies = new Set<string>();
+  for (const id of BOXES) bodies.add((await readThrough(id, name))?.body ?? "none");
+  assert.equal(bodies.size, 1);
+});
+
 Then("box {int} is not counting", (number: number) => assert.equal(copies.copy(box(number)).ledger.isCounting, false));
 
 Then("reading through box {int} fails", async (number: number) => {
-  assert.ok((await copies.copy(box(number)).ledger.readAndMend()).isErr);
+  assert.ok((await copies.beside(copies.copy(box(number)).ledger.read())).isErr);
 });
 
 Then("the copy of box {int} holds route {string} at version {int}", (number: number, name: string, version: number) => {
@@ -205,28 +296,28 @@
 // --- duty -----------------------------------------------------------------------------------------------------------
 
 let oldHolder: Copy | undefined;
-let oldEpoch = 0;
-const holdersByEpoch = new Map<number, Set<string>>();
+let oldTerm = 0;
+const holdersByTerm = new Map<number, Set<string>>();
 
 const holders = (): readonly Copy[] => [...copies.running.values()].filter((copy) => copy.duty.isHolder());
 const reachableHolder = (): Copy | undefined => holders().find((copy) => !copies.cut.has(copy.id));
 const note = (): void =>
   holders().forEach((copy) => {
-    const epoch = copy.duty.epoch();
-    holdersByEpoch.set(epoch, (holdersByEpoch.get(epoch) ?? new Set()).add(copy.id));
+    const term = copy.duty.term();
+    holdersByTerm.set(term, (holdersByTerm.get(term) ?? new Set()).add(copy.id));
   });
 
 const pass = async (seconds: number): Promise<void> => {
   for (let step = 0; step < seconds * 4; step += 1) {
     await copies.clock.pass(250_000);
-    for (const copy of copies.running.values()) await copy.ledger.read();
+    for (const copy of copies.running.values()) void copy.ledger.read();
     await settle(8);
     note();
   }
 };
 
 Given("their duties are started", () => {
-  holdersByEpoch.clear();
+  holdersByTerm.clear();
   copies.running.forEach((copy) => copy.duty.start());
 });
 
@@ -236,7 +327,7 @@
   const holder = reachableHolder();
   assert.ok(holder, "nobody holds the duty");
   oldHolder = holder;
-  oldEpoch = holder.duty.epoch();
+  oldTerm = holder.duty.term();
   return holder;
 };
 
@@ -245,7 +336,7 @@
 });
 
 When("the holder hands over", async () => {
-  await remember().duty.handOver();
+  await copies.beside(remember().duty.handOver());
   await pass(1);
 });
 
@@ -269,9 +360,9 @@
   copies.cut.clear();
   await pass(3);
 });
-Then("the same box holds the duty with the same epoch", () => {
+Then("the same box holds the duty with the same term", () => {
   const holder = reachableHolder();
-  assert.deepEqual([holder?.id, holder?.duty.epoch()], [oldHolder?.id, oldEpoch]);
+  assert.deepEqual([holder?.id, holder?.duty.term()], [oldHolder?.id, oldTerm]);
 });
 
 Then("exactly {int} box holds the duty", (count: number) => assert.equal(holders().length, count));
@@ -284,21 +375,22 @@
   copies.running.forEach((copy) => assert.equal(copy.ledger.members().length, count, copy.id));
 });
 
-Then("another box holds the duty with a higher epoch", () => {
+Then("another box holds the duty with a higher term", () => {
   const holder = reachableHolder();
   assert.ok(holder && holder.id !== oldHolder?.id);
-  assert.ok(holder.duty.epoch() > oldEpoch);
+  assert.ok(holder.duty.term() > oldTerm);
 });
 
-Then("what the old holder writes under its epoch is refused", async () => {
+Then("what the old holder writes under its term is refused", async () => {
   copies.cut.clear();
-  const written = await oldHolder?.ledger.write([makeRegister("duty/ejections", oldEpoch * 1_000_000, "{}")], oldEpoch);
-  assert.ok(written?.isErr);
+  const { ledger, id } = oldHolder ?? assert.fail("no holder is remembered");
+  const written = await copies.beside(ledger.decide("duty/ejections", () => "{}", { number: oldTerm, holder: id, life: ledger.lifeName }));
+  assert.ok(written.isErr);
 });
 
-Then("no epoch was ever held by two boxes", () => {
-  assert.ok(holdersByEpoch.size >= 4);
-  holdersByEpoch.forEach((ids) => assert.equal(ids.size, 1));
+Then("no term was ever held by two boxes", () => {
+  assert.ok(holdersByTerm.size >= 4);
+  holdersByTerm.forEach((ids) => assert.equal(ids.size, 1));
 });
 
 // --- calls ----------------------------------------------------------------------------------------------------------
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -61,7 +61,7 @@
   top = new Board(clock);
   topFeeder = new Feeder(clock, top, () => true);
   const boxId = `127.3.0.1:${port}`;
-  const sessions = new Sessions({ clock, feeder: topFeeder, log: silentLog, isFit: () => true, boxes: () => [{ id: boxId, cell: "c1" }], answer: async (message) => message, emptiedCell: () => "", cell: "c1" });
+  const sessions = new Sessions({ clock, feeder: topFeeder, log: silentLog, isFit: async () => true, boxes: () => [{ id: boxId, cell: "c1" }], answer: async (message) => message, emptiedCell: () => "", cell: "c1" });
   box = new Switchboard(clock, TIMES, { pointsman: sessions.serve }, silentLog);
   await box.listen("127.3.0.1", port);
   for (let number = 1; number <= count; number += 1) await join(number);
--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -114,6 +114,16 @@
   }
 };
 
+/** Until the work is done; a signalbox that leaves still hears the workers. */
+const whileBeating = async (work: Promise<void>): Promise<void> => {
+  let isDone = false;
+  const finished = work.finally(() => {
+    isDone = true;
+  });
+  while (!isDone) await live(100_000);
+  await finished;
+};
+
 const planOf = (version: number, then: Rec): string =>
   JSON.stringify({
     putItems: {
@@ -190,7 +200,7 @@
 });
 When("every signalbox ends", async () => {
   for (const box of boxes) {
-    await during(running.get(box.name)?.stop() ?? Promise.resolve());
+    await whileBeating(running.get(box.name)?.stop() ?? Promise.resolve());
     running.delete(box.name);
   }
 });
--- a/features/support/copies.ts
+++ b/features/support/copies.ts
@@ -5,14 +5,17 @@
 import { Duty } from "../../src/interlocking/duty.js";
 import { KeyBook, type Purge } from "../../src/interlocking/keybook.js";
 import { Keys } from "../../src/interlocking/keys.js";
-import { Ledger } from "../../src/interlocking/ledger.js";
-import { Registers } from "../../src/interlocking/register.js";
+import { Ledger, LEDGER_KINDS } from "../../src/interlocking/ledger.js";
+import { Copy as State } from "../../src/interlocking/copy.js";
 import { silentLog } from "../../src/trackbed/log.js";
 import type { Message } from "../../src/trackbed/wire.js";
 import { ManualClock, settle } from "./manual-clock.js";
+import { MemoryDisk } from "./memory-disk.js";
 
 export interface Copy {
   readonly id: string;
+  readonly archive: Archive;
+  readonly state: State;
   readonly ledger: Ledger;
   readonly duty: Duty;
   readonly keys: Keys;
@@ -20,16 +23,21 @@
   readonly learned: Purge[];
 }
 
+export const STATE_FOLDER = "/state";
 export const KEY_WINDOW_US = 60_000_000;
 
-/** Several signalboxes' control state over a net of the test's own, with real files for disks. */
+/** Several signalboxes' control state over a net and disks of the test's own; operation keys lie in real files, if they have room there. */
 export class Copies {
   readonly clock = new ManualClock();
   readonly cut = new Set<string>();
+  /** Messages that never reach whom they are for. */
+  deaf: (to: string, message: Message) => boolean = () => false;
   readonly running = new Map<string, Copy>();
   private readonly folders = new Map<string, string>();
+  private readonly disks = new Map<string, MemoryDisk>();
+  private seed = 1;
 
-  constructor(readonly ids: readonly string[], private readonly withstandMachines = 1, private readonly diskBytes = 8_000_000) {}
+  constructor(readonly ids: readonly string[], private readonly withstandMachines = 1, private readonly diskBytes = 0) {}
 
   readonly startAll = async (): Promise<void> => {
     for (const id of this.ids) await this.start(id, true);
@@ -38,19 +46,20 @@
   readonly start = async (id: string, firstRun: boolean): Promise<Copy> => {
     const folder = this.folders.get(id) ?? (await mkdtemp(join(tmpdir(), "yewreel-")));
     this.folders.set(id, folder);
-    const registers = new Registers();
-    const archive = new Archive(folder, registers.all);
+    const state = new State();
+    const archive = new Archive({ folder: STATE_FOLDER, disk: this.diskOf(id), snapshot: state.snapshot });
     const asker = {
       ask: (to: string, message: Message) => this.carry(id, to, message),
       send: (message: Message) => this.ids.filter((to) => to !== id).forEach((to) => void this.carry(id, to, message)),
     };
     const ledger = new Ledger({
       self: id,
-      registers,
       archive,
-      seeds: this.ids.slice(0, 3),
+      copy: state,
+      seeds: () => this.ids.slice(0, 3),
       asker,
       clock: this.clock,
+      random: this.random,
       withstandMachines: this.withstandMachines,
       log: silentLog,
     });
@@ -64,9 +73,10 @@
       hasDisk: true,
       withstandMachines: this.withstandMachines,
       patienceUs: 1_500_000,
+      moveMore: () => this.copy(id).keys.spread(),
     });
     await ledger.start(firstRun);
-    const book = new KeyBook({ folder: join(folder, "keys"), clock: this.clock, keyWindowUs: KEY_WINDOW_US, diskBytes: this.diskBytes });
+    const book = new KeyBook({ folder: this.diskBytes === 0 ? "" : join(folder, "keys"), clock: this.clock, keyWindowUs: KEY_WINDOW_US, diskBytes: this.diskBytes });
     const learned: Purge[] = [];
     const keys = new Keys({
       self: id,
@@ -80,11 +90,34 @@
       onPurge: (purge) => learned.push(purge),
     });
     await keys.start(firstRun);
-    const copy = { id, ledger, duty, keys, book, learned };
+    const copy = { id, archive, state, ledger, duty, keys, book, learned };
     this.running.set(id, copy);
     return copy;
   };
 
+  /** Moves the clock on beside the work, so that waits for those who are gone come to their end. */
+  readonly beside = async <T>(work: Promise<T>): Promise<T> => {
+    let isDone = false;
+    const finished = work.finally(() => {
+      isDone = true;
+    });
+    for (let step = 0; step < 2_000 && !isDone; step += 1) await this.clock.pass(5_000);
+    return finished;
+  };
+
+  /** Every box catches up, and one change of the roster takes these in. */
+  readonly enrol = async (ids: readonly string[]): Promise<void> => {
+    await this.readAll();
+    const changed = await this.beside(this.copy(this.ids[0] ?? "").ledger.changeMembers(() => ids));
+    if (changed.isErr) throw new Error(`the roster was not changed: ${JSON.stringify(changed.error)}`);
+    await this.readAll();
+  };
+
+  /** Twice, since the first asking may only tell a newcomer whom to ask. */
+  readonly readAll = async (): Promise<void> => {
+    for (const id of [...this.running.keys(), ...this.running.keys()]) await this.beside(this.copy(id).ledger.read());
+  };
+
   readonly copy = (id: string): Copy => {
     const copy = this.running.get(id);
     if (!copy) throw new Error(`${id} is down`);
@@ -102,15 +135,23 @@
     copy?.duty.stop();
     this.running.delete(id);
     await copy?.ledger.safe();
+    await copy?.archive.idle();
     await copy?.book.stop();
     await settle(4);
   };
 
   readonly wipe = async (id: string): Promise<void> => {
     await this.kill(id);
+    this.disks.delete(id);
     await rm(this.folderOf(id), { recursive: true, force: true });
   };
 
+  readonly diskOf = (id: string): MemoryDisk => {
+    const disk = this.disks.get(id) ?? new MemoryDisk();
+    this.disks.set(id, disk);
+    return disk;
+  };
+
   readonly folderOf = (id: string): string => this.folders.get(id) ?? "";
 
   readonly clean = async (): Promise<void> => {
@@ -118,22 +159,24 @@
     for (const folder of this.folders.values()) await rm(folder, { recursive: true, force: true });
   };
 
+  private readonly random = (): number => {
+    this.seed = (this.seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return this.seed / 2_147_483_648;
+  };
+
   private readonly reaches = (from: string, to: string): boolean =>
     this.running.has(to) && this.running.has(from) && (from === to || (!this.cut.has(from) && !this.cut.has(to)));
 
   private readonly carry = async (from: string, to: string, message: Message): Promise<Message | undefined> => {
-    if (!this.reaches(from, to)) return undefined;
+    if (!this.reaches(from, to) || this.deaf(to, message)) return undefined;
     const { ledger, duty, keys } = this.copy(to);
     if (message.kind.startsWith("key-")) return keys.answer(message);
     switch (message.kind) {
       case "settled":
         ledger.hearSettled(message);
         return undefined;
-      case "read":
-      case "store":
-        return ledger.answer(message);
       default:
-        return duty.answer(message);
+        return LEDGER_KINDS.has(message.kind) ? ledger.answer(message) : duty.answer(message);
     }
   };
 }
--- a/features/support/manual-clock.ts
+++ b/features/support/manual-clock.ts
@@ -47,6 +47,11 @@
     };
   };
 
+  /** As a process sees it that was frozen: time has passed, and nothing that fell due has run yet. */
+  readonly jump = (spanUs: number): void => {
+    this.time += spanUs;
+  };
+
   /** Moves on, running what falls due in its order, and lets each settle before the next. */
   readonly pass = async (spanUs: number): Promise<void> => {
     const endUs = this.time + spanUs;
--- a/src/inspection/inspector.ts
+++ b/src/inspection/inspector.ts
@@ -65,10 +65,10 @@
   readonly log: Log;
   readonly terms: InspectionTerms;
   readonly isHolder: () => boolean;
-  readonly epoch: () => number;
+  readonly term: () => number;
   readonly workers: () => readonly InspectedWorker[];
   readonly decisions: () => Decisions;
-  /** Makes decisions durable under the holder's epoch; false if a newer epoch or no quorum stood in the way. */
+  /** Makes decisions durable under the holder's term; false if a newer term or no quorum stood in the way. */
   readonly publish: (decisions: Decisions) => Promise<boolean>;
 }
 
@@ -111,7 +111,7 @@
     const faults = [...this.window.byWorker()].sort((a, b) => b[1] - a[1]).slice(0, 20).map(([worker, count]) => ({ worker, faults: count }));
     return {
       holder: this.options.isHolder(),
-      epoch: this.options.epoch(),
+      term: this.options.term(),
       token: this.hasToken() ? "here" : "spent",
       faults,
       malformedReports: this.malformed,
@@ -201,7 +201,7 @@
   };
 
   private readonly ejectWorst = async (): Promise<boolean> => {
-    const { terms, workers, decisions, log, clock, epoch } = this.options;
+    const { terms, workers, decisions, log, clock, term } = this.options;
     const living = new Map(workers().map((worker) => [worker.id, worker]));
     const now = decisions();
     const ejected = new Set(now.ejections.map(({ worker }) => worker));
@@ -214,7 +214,7 @@
     const out = ofService.filter((other) => ejected.has(other.id) || other.missing).length;
     if (out + 1 > ofService.length * terms.cappedShare) return this.say(`${found.who} stands out, but ${worker.service} may lose no more workers.`);
     const reason = `${found.who} holds ${found.faults} of ${found.ofFaults} faults (${percent(found)}).`;
-    const evidence = { faults: found.faults, ofFaults: found.ofFaults, share: found.share, token: "taken", epoch: epoch() };
+    const evidence = { faults: found.faults, ofFaults: found.ofFaults, share: found.share, token: "taken", term: term() };
     const ejections = [...now.ejections, { worker: found.who, reason, evidence }];
     if (await this.options.publish({ ...now, removals: now.removals + 1, ejections })) {
       this.lastRemovalUs = clock.nowUs();
--- a/src/inspection/rollout-inspector.ts
+++ b/src/inspection/rollout-inspector.ts
@@ -55,7 +55,7 @@
   readonly terms: TrialTerms;
   readonly random: () => number;
   readonly isHolder: () => boolean;
-  readonly epoch: () => number;
+  readonly term: () => number;
   readonly splitRoutes: () => readonly SplitRoute[];
   /** The service that the item's previous version sent the most to, where that is known here. */
   readonly previousMain: (route: string) => string | undefined;
@@ -163,7 +163,7 @@
 
   readonly list = (): readonly Rec[] => [...this.comparisons.values()].flatMap((comparison) => [...comparison.trials.keys()].map((service) => this.row(comparison, service)));
 
-  readonly explain = (): Rec => ({ holder: this.options.isHolder(), epoch: this.options.epoch(), droppedReports: this.dropped, rollouts: this.list() });
+  readonly explain = (): Rec => ({ holder: this.options.isHolder(), term: this.options.term(), droppedReports: this.dropped, rollouts: this.list() });
 
   /** The operator lifts a stop; the comparison begins anew with what comes from now on. */
   readonly clear = async (route: string, version: number | undefined): Promise<ClearMishap | undefined> => {
@@ -223,7 +223,7 @@
   };
 
   private readonly decide = async (): Promise<void> => {
-    const { state, publish, log, clock, epoch } = this.options;
+    const { state, publish, log, clock, term } = this.options;
     const before = state();
     const inForce = (row: RouteVersion) => this.comparisons.get(row.route)?.route.version === row.version;
     const fresh = [...this.comparisons.values()]
@@ -231,7 +231,7 @@
       .map(({ route, baseline }) => ({ route: route.name, version: route.version, service: baseline }));
     const found = [...this.comparisons.values()].flatMap((comparison) => this.judge(comparison, before));
     const baselines = [...before.baselines.filter(inForce), ...fresh];
-    const stops = [...before.stops.filter(inForce), ...found.map((stop) => ({ ...stop, evidence: { ...stop.evidence, epoch: epoch() } }))];
+    const stops = [...before.stops.filter(inForce), ...found.map((stop) => ({ ...stop, evidence: { ...stop.evidence, term: term() } }))];
     const isSame = fresh.length + found.length === 0 && baselines.length === before.baselines.length && stops.length === before.stops.length;
     if (isSame || !(await publish({ baselines, stops }))) return;
     found.forEach((stop) => log.warn(`Stopped ${stop.candidate} on ${stop.route} at version ${stop.version} after ${Math.round((clock.nowUs() - (this.comparisons.get(stop.route)?.sinceUs ?? 0)) / 1_000)} ms: ${stop.reason}`));
--- a/src/interlocking/archive.ts
+++ b/src/interlocking/archive.ts
@@ -1,99 +1,312 @@
 import { createHash } from "node:crypto";
-import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
 import { join } from "node:path";
 import { err, ok, type Result } from "true-myth/result";
-import { list, asRec, whole } from "../trackbed/shape.js";
+import { asList, asRec, flag, text, whole, type Rec } from "../trackbed/shape.js";
 import { packValue, unpackValue } from "../trackbed/wire.js";
+import type { Disk } from "./disk.js";
 import { Together } from "./together.js";
-import { packRegister, readRegister, type Register } from "./register.js";
 
 export type ArchiveMishap = { readonly kind: "disk"; readonly sentence: string };
 
-const NAME = /^plan-(\d+)\.bin$/;
+/**
+ * What a start finds. `whole`: proof that nothing is missing that was ever kept. `doubtful`: whatever could be read, and
+ * one line why it may not be all. `empty`: nothing was ever kept, or all of it is lost.
+ */
+export type Loaded =
+  | { readonly kind: "whole"; readonly records: readonly Rec[] }
+  | { readonly kind: "doubtful"; readonly records: readonly Rec[]; readonly why: string }
+  | { readonly kind: "empty" };
+
+export interface ArchiveOptions {
+  /** Empty on a machine without a disk: then memory is all there is. */
+  readonly folder: string;
+  readonly disk: Disk;
+  /** The whole state as records, taken in one go; holds every record that was handed to `keep` before. */
+  readonly snapshot: () => readonly Rec[];
+}
+
+type Kind = "snapshot" | "increment";
+
+interface Content {
+  /** For an increment the sum of the increment before it; for a snapshot the `link` of the increment that comes next. */
+  readonly link: string;
+  /** Says of a snapshot that nothing ever kept was missing from it. */
+  readonly isWhole: boolean;
+  readonly records: readonly Rec[];
+}
+
+interface Found {
+  readonly kind: Kind;
+  readonly number: number;
+  readonly name: string;
+}
+
+interface ReadFile extends Found {
+  readonly sum: string;
+  readonly bytes: number;
+  /** Undefined if the file can't be read or isn't as it was written. */
+  readonly content: Content | undefined;
+}
+
+interface Call {
+  readonly records: readonly Rec[];
+  readonly isWhole: boolean;
+}
+
+const NAME = /^(snapshot|increment)-(\d+)\.bin$/;
 const SUM_BYTES = 32;
+/** A snapshot is due once the increments are as large as the last one, or this large, or this many. */
+const LEAST_BYTES = 64 * 1024;
+const MOST_INCREMENTS = 512;
+/** At this many times what makes one due, increments wait for the snapshot. */
+const HARD_PART = 2;
+/** Records that a refusing disk left unkept; past these a snapshot takes their place. */
+const MOST_UNKEPT = 2_000;
 
-const sumOf = (body: Uint8Array): Buffer => createHash("sha256").update(body).digest();
+const nameOf = (kind: Kind, number: number): string => `${kind}-${number}.bin`;
+const sentenceOf = (mishap: unknown): string => (mishap instanceof Error ? mishap.message : "the disk refused");
+
+const pack = (kind: Kind, number: number, content: Content): { readonly bytes: Buffer; readonly sum: string } => {
+  const body = packValue({ kind, number, ...content });
+  const sum = createHash("sha256").update(body).digest();
+  return { bytes: Buffer.concat([sum, body]), sum: sum.toString("base64") };
+};
+
+const unpack = (kind: Kind, number: number, bytes: Uint8Array): Pick<ReadFile, "sum" | "content"> | undefined => {
+  const body = bytes.subarray(SUM_BYTES);
+  const sum = createHash("sha256").update(body).digest();
+  if (!sum.equals(bytes.subarray(0, SUM_BYTES))) return undefined;
+  const rec = asRec(unpackValue(body));
+  if (rec["kind"] !== kind || whole(rec, "number") !== number) return undefined;
+  const records = asList(rec["records"], "records").map((record) => asRec(record));
+  return { sum: sum.toString("base64"), content: { link: text(rec, "link"), isWhole: flag(rec, "isWhole"), records } };
+};
+
+/** Why these files, in order, are no proof that they hold all that was kept; undefined where they are. */
+const doubtOf = (files: readonly ReadFile[]): string | undefined => {
+  const newest = files.filter(({ kind }) => kind === "snapshot").at(-1);
+  if (!newest) return "there are increments without a snapshot";
+  if (!newest.content) return `${newest.name} is spoiled`;
+  if (!newest.content.isWhole) return "this machine had not caught up when it last stopped";
+  let { number } = newest;
+  let { link } = newest.content;
+  for (const file of files.filter((other) => other.kind === "increment" && other.number > newest.number)) {
+    if (!file.content) return `${file.name} is spoiled`;
+    if (file.number !== number + 1 || file.content.link !== link) return `${file.name} doesn't follow what is before it`;
+    ({ number } = file);
+    link = file.sum;
+  }
+  return undefined;
+};
 
 /**
- * The local versions of the merged state: one file each, written aside, synced, renamed, and the folder synced.
- * Invariant: `lastKept` only rises, and a file named plan-N is complete, since its name appears after its sync.
+ * The state on disk: `snapshot-N` is the whole state and stands for all numbers up to N; `increment-N` holds the records
+ * of one round of calls and names the sum of the one before. Each is one file with a checksum, written aside, synced,
+ * renamed, and the folder synced, before anything in it is called kept.
+ * Invariants: increment N+1 gets its name only after increment N's name lasts, so that what an unsynced name can lose was
+ * never called kept; a file goes only once a newer snapshot's name lasts, so that one that comes back stands below that
+ * snapshot and is passed over; `isWhole` is false from a start without proof until `keepWhole`.
  */
 export class Archive {
-  private lastKept = 0;
-  private readonly writes: Together<undefined, Result<void, ArchiveMishap>>;
+  /** Invariant: increment `last`, or a snapshot that stands for it, lasts. */
+  private last = 0;
+  private link = "";
+  private isWhole = false;
+  /** True until a snapshot of this life, or one found whole, is there to add increments to. */
+  private needsSnapshot = true;
+  private snapshotBytes = 0;
+  /** The bytes of each increment that no lasting snapshot stands for, by number. */
+  private readonly increments = new Map<number, number>();
+  /** What a disk that refused left unkept, in order; goes into the next increment. */
+  private unkept: Rec[] = [];
+  private snapshotting: Promise<void> | undefined;
+  private readonly rounds = new Together((calls: readonly Call[]) => this.round(calls));
 
-  /** An empty folder name means a machine without a disk: then memory is all there is. */
-  constructor(private readonly folder: string, private readonly snapshot: () => readonly Register[]) {
-    this.writes = new Together(() => this.write());
-  }
+  constructor(private readonly options: ArchiveOptions) {}
 
   get hasDisk(): boolean {
-    return this.folder !== "";
+    return this.options.folder !== "";
+  }
+
+  /** Bytes that lie on disk, as far as this life knows. */
+  get heldBytes(): number {
+    return this.snapshotBytes + this.incrementBytes;
   }
 
-  /** The newest valid version, or undefined where there is none. */
-  readonly load = async (): Promise<readonly Register[] | undefined> => {
-    if (!this.hasDisk) return undefined;
+  /** To be called once, before anything is kept. What it calls whole lasts from then on. */
+  readonly load = async (): Promise<Loaded> => {
+    if (!this.hasDisk) return { kind: "empty" };
+    const { folder, disk } = this.options;
+    let records: readonly Rec[] = [];
     try {
-      await mkdir(this.folder, { recursive: true });
-      const found = (await readdir(this.folder))
-        .map((name) => Number(NAME.exec(name)?.[1] ?? 0))
-        .filter((number) => number > 0)
-        .sort((a, b) => b - a);
-      for (const number of found) {
-        const registers = await this.read(join(this.folder, `plan-${number}.bin`));
-        this.lastKept = Math.max(this.lastKept, number);
-        if (registers) return registers;
-      }
-    } catch {
-      // A folder that cannot be read holds nothing for us: the state then comes from a majority.
+      const files: ReadFile[] = [];
+      for (const found of await this.find()) files.push(await this.read(found));
+      const why = files.length === 0 ? undefined : doubtOf(files);
+      const from = why === undefined ? Math.max(0, files.map(({ kind }) => kind).lastIndexOf("snapshot")) : 0;
+      records = files.slice(from).flatMap(({ content }) => content?.records ?? []);
+      if (why !== undefined) return { kind: "doubtful", records, why };
+      await disk.makeFolder(folder);
+      if (files.length === 0) return { kind: "empty" };
+      // A killed life may have renamed a file and not synced the folder; who goes by it now must not lose it later.
+      await disk.syncFolder(folder);
+      this.goOn(files.slice(from));
+      await this.tidy();
+      return { kind: "whole", records };
+    } catch (mishap) {
+      return { kind: "doubtful", records, why: sentenceOf(mishap) };
     }
-    return undefined;
   };
 
-  /** Resolves once a version that holds everything merged before this call is safe; calls made together share it. */
-  readonly keep = (): Promise<Result<void, ArchiveMishap>> => {
-    if (!this.hasDisk) return Promise.resolve(ok(undefined));
-    return this.writes.add(undefined);
+  /**
+   * Resolves once these records are safe; calls made meanwhile share one file. The order of calls is that of the records.
+   * What the disk refused goes into the next file with what comes then.
+   */
+  readonly keep = (records: readonly Rec[]): Promise<Result<void, ArchiveMishap>> =>
+    this.hasDisk ? this.rounds.add({ records, isWhole: false }) : Promise.resolve(ok(undefined));
+
+  /**
+   * Keeps the whole state and vouches that nothing ever kept is missing from it: for the first start of all, and for a
+   * copy that has caught up. Until then a later start is doubtful, whatever `keep` has kept.
+   */
+  readonly keepWhole = (): Promise<Result<void, ArchiveMishap>> =>
+    this.hasDisk ? this.rounds.add({ records: [], isWhole: true }) : Promise.resolve(ok(undefined));
+
+  /** Resolves once nothing is being written. */
+  readonly idle = async (): Promise<void> => {
+    while (!this.rounds.isIdle || this.snapshotting) {
+      await this.rounds.add({ records: [], isWhole: false });
+      await this.snapshotting;
+    }
   };
 
-  private readonly write = async (): Promise<Result<void, ArchiveMishap>> => {
-    const number = this.lastKept + 1;
-    this.lastKept = number;
-    const aside = join(this.folder, "aside.tmp");
+  private get incrementBytes(): number {
+    return [...this.increments.values()].reduce((sum, bytes) => sum + bytes, 0);
+  }
+
+  /** How much of what makes a snapshot due has come together. */
+  private get duePart(): number {
+    return Math.max(this.incrementBytes / Math.max(this.snapshotBytes, LEAST_BYTES), this.increments.size / MOST_INCREMENTS);
+  }
+
+  private readonly round = async (calls: readonly Call[]): Promise<Result<void, ArchiveMishap>> => {
+    const isWhole = calls.some((call) => call.isWhole);
+    this.unkept.push(...calls.flatMap(({ records }) => records));
+    if (isWhole || this.unkept.length > MOST_UNKEPT) this.needsSnapshot = true;
     try {
-      const body = packValue({ number, registers: this.snapshot().map(packRegister) });
-      const file = await open(aside, "w");
-      try {
-        await file.writeFile(Buffer.concat([sumOf(body), body]));
-        await file.datasync();
-      } finally {
-        await file.close();
-      }
-      await rename(aside, join(this.folder, `plan-${number}.bin`));
-      const folder = await open(this.folder, "r");
-      try {
-        await folder.sync();
-      } finally {
-        await folder.close();
-      }
-      await rm(join(this.folder, `plan-${number - 2}.bin`), { force: true });
+      if (this.needsSnapshot) {
+        if (isWhole || this.unkept.length > 0) await this.writeFirst(isWhole || this.isWhole);
+      } else if (this.unkept.length > 0) await this.writeIncrement();
       return ok(undefined);
     } catch (mishap) {
-      return err({ kind: "disk", sentence: mishap instanceof Error ? mishap.message : "the disk refused" });
+      return err({ kind: "disk", sentence: sentenceOf(mishap) });
+    }
+  };
+
+  /** A snapshot under a number of its own, above every name found; on a failure the next round tries again. */
+  private readonly writeFirst = async (isWhole: boolean): Promise<void> => {
+    await this.snapshotting;
+    await this.options.disk.makeFolder(this.options.folder);
+    const highest = (await this.find()).at(-1)?.number ?? 0;
+    const number = Math.max(this.last, highest) + 1;
+    await this.writeSnapshot(number, isWhole);
+    this.last = number;
+    this.isWhole = isWhole;
+    this.needsSnapshot = false;
+    this.unkept = [];
+    await this.tidy();
+  };
+
+  private readonly writeIncrement = async (): Promise<void> => {
+    if (this.duePart >= HARD_PART) await this.snapshotting;
+    if (this.duePart >= 1) this.snapshotting ??= this.snapshotAside();
+    if (this.duePart >= HARD_PART) await this.snapshotting;
+    if (this.duePart >= HARD_PART) throw new Error("no snapshot could be written, and the room for increments is taken");
+    const number = this.last + 1;
+    const { bytes, sum } = pack("increment", number, { link: this.link, isWhole: this.isWhole, records: this.unkept });
+    await this.put("increment", number, bytes);
+    this.last = number;
+    this.link = sum;
+    this.increments.set(number, bytes.length);
+    this.unkept = [];
+  };
+
+  /** Puts a snapshot in the place of the increments so far, while further ones are written. */
+  private readonly snapshotAside = async (): Promise<void> => {
+    try {
+      await this.writeSnapshot(this.last, this.isWhole);
+      await this.tidy();
+    } catch {
+      // The files so far still hold everything; a later round tries again.
+    } finally {
+      this.snapshotting = undefined;
+    }
+  };
+
+  /** The state as it is now, which holds all that was handed to `keep` up to this call; lasting once this resolves. */
+  private readonly writeSnapshot = async (number: number, isWhole: boolean): Promise<void> => {
+    const { bytes } = pack("snapshot", number, { link: this.link, isWhole, records: this.options.snapshot() });
+    await this.put("snapshot", number, bytes);
+    this.snapshotBytes = bytes.length;
+    [...this.increments.keys()].filter((other) => other <= number).forEach((other) => this.increments.delete(other));
+  };
+
+  private readonly put = async (kind: Kind, number: number, bytes: Uint8Array): Promise<void> => {
+    const { folder, disk } = this.options;
+    const aside = join(folder, `${kind}.tmp`);
+    try {
+      await disk.write(aside, bytes);
+    } catch (mishap) {
+      // Half a file on a full disk would take the room of the next try.
+      await disk.remove(aside).catch(() => undefined);
+      throw mishap;
+    }
+    await disk.rename(aside, join(folder, nameOf(kind, number)));
+    await disk.syncFolder(folder);
+  };
+
+  /** Takes away what the newest snapshot stands for; what the disk refuses to remove goes the next time. */
+  private readonly tidy = async (): Promise<void> => {
+    const { folder, disk } = this.options;
+    try {
+      const found = await this.find();
+      const newest = found.filter(({ kind }) => kind === "snapshot").at(-1)?.number ?? 0;
+      const old = found.filter(({ kind, number }) => number < newest || (kind === "increment" && number === newest));
+      for (const { name } of old) await disk.remove(join(folder, name));
+    } catch {
+      // Files too many are no fault.
     }
   };
 
-  private readonly read = async (path: string): Promise<readonly Register[] | undefined> => {
+  /** The files with a name of ours, by number, an increment before the snapshot that stands for it. */
+  private readonly find = async (): Promise<readonly Found[]> => {
+    const names = await this.options.disk.list(this.options.folder);
+    return names
+      .flatMap((name): Found[] => {
+        const [, kind, number] = NAME.exec(name) ?? [];
+        return kind === undefined ? [] : [{ kind: kind === "snapshot" ? "snapshot" : "increment", number: Number(number), name }];
+      })
+      .sort((a, b) => a.number - b.number || a.kind.localeCompare(b.kind));
+  };
+
+  private readonly read = async (found: Found): Promise<ReadFile> => {
     try {
-      const bytes = await readFile(path);
-      const body = bytes.subarray(SUM_BYTES);
-      if (!sumOf(body).equals(bytes.subarray(0, SUM_BYTES))) return undefined;
-      const rec = asRec(unpackValue(body));
-      whole(rec, "number");
-      return list(rec, "registers", readRegister);
+      const bytes = (await this.options.disk.read(join(this.options.folder, found.name))) ?? new Uint8Array();
+      const { sum, content } = unpack(found.kind, found.number, bytes) ?? { sum: "", content: undefined };
+      return { ...found, sum, content, bytes: bytes.length };
     } catch {
-      return undefined;
+      return { ...found, sum: "", content: undefined, bytes: 0 };
+    }
+  };
+
+  /** Goes on from a whole chain: its snapshot first, then its increments. */
+  private readonly goOn = (files: readonly ReadFile[]): void => {
+    for (const { kind, number, sum, bytes, content } of files) {
+      this.last = number;
+      this.link = kind === "snapshot" ? (content?.link ?? "") : sum;
+      if (kind === "snapshot") this.snapshotBytes = bytes;
+      else this.increments.set(number, bytes);
     }
+    this.isWhole = true;
+    this.needsSnapshot = false;
   };
 }
--- /dev/null
+++ b/src/interlocking/disk.ts
@@ -0,0 +1,104 @@
+import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
+import { dirname } from "node:path";
+import { isRec } from "../trackbed/shape.js";
+
+/**
+ * The few calls on files that state on disk needs. Every method rejects with an Error when the disk refuses.
+ * After a loss of power the bytes of a written file stand as `write` left them; a name that was made, renamed or removed
+ * since the last `syncFolder` of its folder may be kept or lost, each by itself.
+ */
+export interface Disk {
+  /** The names in a folder; none if there is no such folder. */
+  list(folder: string): Promise<readonly string[]>;
+  /** Undefined if there is no such file. */
+  read(path: string): Promise<Uint8Array | undefined>;
+  /** Writes the whole file, new or replaced; its bytes are synced once this resolves. */
+  write(path: string, bytes: Uint8Array): Promise<void>;
+  rename(from: string, to: string): Promise<void>;
+  /** No error if there is no such file. */
+  remove(path: string): Promise<void>;
+  /** Makes the folder with all parents missing; the names of all that were made last once this resolves. */
+  makeFolder(path: string): Promise<void>;
+  syncFolder(path: string): Promise<void>;
+}
+
+const codeOf = (mishap: unknown): unknown => (isRec(mishap) ? mishap["code"] : undefined);
+
+/** What comes back for a folder that isn't ours, so that we made no name in it either. */
+const NOT_OURS: ReadonlySet<unknown> = new Set(["EACCES", "EPERM", "EROFS"]);
+
+const syncOf = async (folder: string): Promise<void> => {
+  const opened = await open(folder, "r");
+  try {
+    await opened.sync();
+  } finally {
+    await opened.close();
+  }
+};
+
+/** Makes one folder; false if it is there already, undefined if its parent is missing. */
+const made = async (path: string): Promise<boolean | undefined> => {
+  try {
+    await mkdir(path);
+    return true;
+  } catch (mishap) {
+    if (codeOf(mishap) === "ENOENT") return undefined;
+    if (codeOf(mishap) === "EEXIST") return false;
+    throw mishap;
+  }
+};
+
+/** The machine's own files. */
+export class FileDisk implements Disk {
+  readonly list = async (folder: string): Promise<readonly string[]> => {
+    try {
+      return await readdir(folder);
+    } catch (mishap) {
+      if (codeOf(mishap) === "ENOENT") return [];
+      throw mishap;
+    }
+  };
+
+  readonly read = async (path: string): Promise<Uint8Array | undefined> => {
+    try {
+      return await readFile(path);
+    } catch (mishap) {
+      if (codeOf(mishap) === "ENOENT") return undefined;
+      throw mishap;
+    }
+  };
+
+  readonly write = async (path: string, bytes: Uint8Array): Promise<void> => {
+    const file = await open(path, "w");
+    try {
+      await file.writeFile(bytes);
+      await file.datasync();
+    } finally {
+      await file.close();
+    }
+  };
+
+  readonly rename = (from: string, to: string): Promise<void> => rename(from, to);
+
+  readonly remove = (path: string): Promise<void> => rm(path, { force: true });
+
+  /**
+   * Works from the top down, each name synced before the next is made. So after a death on the way at most the lowest
+   * folder that is there has a name not synced yet; that is why the parent of one that is there is synced too.
+   */
+  readonly makeFolder = async (path: string): Promise<void> => {
+    const parent = dirname(path);
+    let isNew = await made(path);
+    if (isNew === undefined) {
+      await this.makeFolder(parent);
+      isNew = await made(path);
+    }
+    try {
+      await syncOf(parent);
+    } catch (mishap) {
+      if (isNew !== false || !NOT_OURS.has(codeOf(mishap))) throw mishap;
+    }
+  };
+
+  readonly syncFolder = (path: string): Promise<void> => syncOf(path);
+}
--- a/src/interlocking/duty.ts
+++ b/src/interlocking/duty.ts
@@ -1,16 +1,17 @@
-import { type Clock, type Pulse } from "../trackbed/clock.js";
+import { rest, type Clock, type Pulse } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
-import { asRec, flag, parseJson, text } from "../trackbed/shape.js";
+import { asRec, flag, isRec, text } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
 import type { Message } from "../trackbed/wire.js";
-import { GRANT_KEY, membersOf, rosterRegister, ROSTER_KEY, STORE_WAIT_US, type Ledger } from "./ledger.js";
-import { makeRegister, type Register } from "./register.js";
+import { GRANT_KEY, readTerm, STORE_WAIT_US, type Ledger, type Term } from "./ledger.js";
+import { isJoint, packRoster, readRoster } from "./roster.js";
 
-const EPOCH_STEP = 256;
-
-const holderOf = (grant: Register | undefined): string => (grant ? text(asRec(parseJson(grant.body)), "holder") : "");
-
-const grantRegister = (epoch: number, holder: string): Register => makeRegister(GRANT_KEY, epoch, JSON.stringify({ holder }));
+const TICK_US = 250 * MS;
+/** A member unseen for so long is replaced by a newcomer that asks to join. */
+const REPLACE_US = 1_500 * MS;
+/** How long a box that leaves tries to be let go where nothing else is said, and how often. */
+const LEAVE_US = 5_000 * MS;
+const LEAVE_AGAIN_US = 200 * MS;
 
 export interface DutyOptions {
   readonly self: string;
@@ -23,149 +24,199 @@
   readonly withstandMachines: number;
   /** For how long a holder must be unseen before others propose themselves. */
   readonly patienceUs: number;
+  /** How long this box tries to be let go before it ends. */
+  readonly leaveUs?: number;
+  /** What else new members must hold before the old ones stop counting. */
+  readonly moveMore?: () => Promise<boolean>;
 }
 
 /**
- * The duty that one signalbox does: changing the roster and deciding ejections.
- * Invariants: an epoch names its proposer (its remainder is the place in the roster), so no two signalboxes ever hold
- * the same one; a holder acts only while the grant it won is the newest it knows, and every act carries its epoch,
- * which a majority refuses once it has accepted a newer.
+ * The duty that one signalbox does: changing the roster, deciding ejections, leasing shares.
+ * Invariants: a term is a register's version, decided like any other, so it has one holder, in one of its lives; a
+ * holder acts only while it knows of no newer term, and every act carries its term, which no quorum accepts once it has
+ * accepted a newer grant.
  */
 export class Duty {
-  private wonEpoch = 0;
-  private unseenSinceUs: number | undefined;
-  private busy = false;
+  private won: Term | undefined;
+  private holderUnseenUs: number | undefined;
+  /** Since when each member has been unseen here. */
+  private readonly unseenUs = new Map<string, number>();
+  private isBusy = false;
   private pulse: Pulse | undefined;
 
   constructor(private readonly options: DutyOptions) {}
 
   readonly start = (): void => {
-    this.pulse = this.options.clock.every(250 * MS, () => void this.tick());
+    this.pulse = this.options.clock.every(TICK_US, () => void this.tick());
   };
 
   readonly stop = (): void => this.pulse?.stop();
 
-  readonly holder = (): string => holderOf(this.options.ledger.get(GRANT_KEY));
+  readonly holder = (): string => this.options.ledger.term()?.holder ?? "";
+
+  /** The number of the newest term known here; 0 before the first. */
+  readonly term = (): number => this.options.ledger.newestTerm();
+
+  /** The term under which this box may act; undefined unless it holds the duty as far as it knows. */
+  readonly heldTerm = (): Term | undefined => {
+    const { ledger } = this.options;
+    return this.won && ledger.newestTerm() <= this.won.number && !ledger.isOvertaken(this.won) ? this.won : undefined;
+  };
 
-  readonly epoch = (): number => this.options.ledger.epoch();
+  readonly isHolder = (): boolean => this.heldTerm() !== undefined;
 
-  readonly isHolder = (): boolean => this.wonEpoch !== 0 && this.wonEpoch === this.epoch();
+  /** Whether this box still holds the duty, by the word of a majority asked after this call. */
+  readonly confirm = async (): Promise<boolean> => this.isHolder() && (await this.options.ledger.contact()) && this.isHolder();
 
-  /** Whether more than half of the roster stands, this one included if its copy counts. */
+  /** Whether more than half of each set of the roster stands, this one included if its copy counts; a belief, no proof. */
   readonly hasMajority = (): boolean => {
     const { self, ledger, stands } = this.options;
-    const members = ledger.members();
-    return members.filter((id) => stands(id) && (id !== self || ledger.isCounting)).length > members.length / 2;
+    return ledger.rosters().every((members) => members.filter((id) => stands(id) && (id !== self || ledger.isCounting)).length > members.length / 2);
   };
 
-  /** Answers votes, joins, leaves and namings. */
+  /** Answers what colleagues ask of the duty: whether its holder is seen here, to join, to leave, to succeed. */
   readonly answer = async (message: Message): Promise<Message> => {
     switch (message.kind) {
-      case "vote":
-        return { kind: "voted", yes: await this.vote(message) };
+      case "unseen":
+        return { kind: "done", yes: this.isFree(text(message, "holder"), text(message, "namedBy")) };
       case "join":
-        return { kind: "done", yes: await this.changeRoster((members) => [...members.filter((id) => id !== message["id"]), text(message, "id")]) };
+        return { kind: "done", ...(await this.join(text(message, "id"))) };
       case "leave":
-        return { kind: "done", yes: await this.changeRoster((members) => members.filter((id) => id !== message["id"])) };
+        return { kind: "done", ...(await this.leave(text(message, "id"))) };
       default:
         return { kind: "done", yes: await this.propose(text(message, "namedBy")) };
     }
   };
 
-  /** Gives the duty to the first standing member that fits. */
+  /** Gives the duty to a standing member that fits and takes it. */
   readonly handTo = async (fits: (id: string) => boolean): Promise<boolean> => {
     const { self, ledger, stands, ask } = this.options;
-    const other = ledger.members().find((id) => id !== self && stands(id) && fits(id));
-    if (!this.isHolder() || other === undefined) return false;
-    const reply = await ask(other, { kind: "succeed", namedBy: self }, STORE_WAIT_US);
-    return reply !== undefined && flag(reply, "yes");
+    for (const other of ledger.members().filter((id) => id !== self && stands(id) && fits(id))) {
+      if (!this.isHolder()) return false;
+      const reply = await ask(other, { kind: "succeed", namedBy: self }, STORE_WAIT_US);
+      if (reply !== undefined && flag(reply, "yes")) return true;
+    }
+    return false;
   };
 
-  /** Before an orderly end: name a successor if this one holds the duty, then leave the roster. */
+  /** Before an orderly end: names a successor if this one holds the duty, then asks to be let go until the others hold everything. */
   readonly handOver = async (): Promise<void> => {
     this.stop();
-    const { self, ledger, ask } = this.options;
-    await this.handTo(() => true);
-    const holder = this.holder();
-    if (holder !== self && ledger.isMember()) await ask(holder, { kind: "leave", id: self }, STORE_WAIT_US);
+    const { self, ledger, ask, clock, log, leaveUs = LEAVE_US } = this.options;
+    if (!ledger.isMember()) return;
+    const beganUs = clock.nowUs();
+    let why = "no holder of the duty is in reach";
+    while (clock.nowUs() - beganUs < leaveUs) {
+      if (this.isHolder()) await this.handTo(() => true);
+      const holder = this.holder();
+      const reply = holder === self || holder === "" ? undefined : await ask(holder, { kind: "leave", id: self }, STORE_WAIT_US * 2);
+      if (reply && flag(reply, "yes")) return;
+      if (reply && typeof reply["why"] === "string") why = reply["why"];
+      await rest(clock, LEAVE_AGAIN_US);
+    }
+    log.warn(`Ends while still on the roster: ${why}.`);
   };
 
-  /** The wanted state is one standing holder and every caught-up signalbox with a disk on the roster. */
+  /** The wanted state is one standing holder, a roster that is not joint, and every caught-up signalbox with a disk on it. */
   private readonly tick = async (): Promise<void> => {
-    if (this.busy) return;
-    this.busy = true;
+    this.watch();
+    if (this.isBusy) return;
+    this.isBusy = true;
     try {
       const { self, ledger, stands, ask, hasDisk, clock, patienceUs } = this.options;
       if (!ledger.isCounting) return;
       const holder = this.holder();
       const members = ledger.members();
       if (!ledger.isMember()) {
-        if (hasDisk && holder !== "" && stands(holder)) await ask(holder, { kind: "join", id: self }, STORE_WAIT_US * 2);
+        if (hasDisk && holder !== "" && stands(holder)) await ask(holder, { kind: "join", id: self }, STORE_WAIT_US * 3);
         return;
       }
-      const seen = holder === self ? this.isHolder() : members.includes(holder) && stands(holder);
-      if (seen) {
-        this.unseenSinceUs = undefined;
+      if (this.isHolder() && isJoint(ledger.roster())) await ledger.changeMembers((all) => all, this.options.moveMore);
+      const isSeen = holder === self ? this.isHolder() : members.includes(holder) && stands(holder);
+      if (isSeen) {
+        this.holderUnseenUs = undefined;
         return;
       }
       const nowUs = clock.nowUs();
-      this.unseenSinceUs ??= nowUs;
-      const first = holder === "" || holder === self;
-      const waitUs = (first ? 0 : patienceUs) + members.indexOf(self) * 300 * MS;
-      if (nowUs - this.unseenSinceUs >= waitUs) await this.propose("");
+      this.holderUnseenUs ??= nowUs;
+      const isFirst = holder === "" || holder === self;
+      const waitUs = (isFirst ? 0 : patienceUs) + members.indexOf(self) * 300 * MS;
+      if (nowUs - this.holderUnseenUs >= waitUs) await this.propose("");
     } finally {
-      this.busy = false;
+      this.isBusy = false;
     }
   };
 
+  private readonly watch = (): void => {
+    const { ledger, stands, clock } = this.options;
+    const members = ledger.members();
+    [...this.unseenUs.keys()].filter((id) => !members.includes(id)).forEach((id) => this.unseenUs.delete(id));
+    members.forEach((id) => {
+      if (stands(id)) this.unseenUs.delete(id);
+      else if (!this.unseenUs.has(id)) this.unseenUs.set(id, clock.nowUs());
+    });
+  };
+
+  /** Takes the duty by deciding the next term, if a majority doesn't see the holder either. */
   private readonly propose = async (namedBy: string): Promise<boolean> => {
     const { self, ledger, log } = this.options;
-    const members = ledger.members();
-    const place = members.indexOf(self);
-    // One that is cut off proposes nothing: its epochs would rise and unseat the holder once it is joined.
-    if (place < 0 || !ledger.isCounting || !this.hasMajority()) return false;
-    const epoch = (Math.floor(this.epoch() / EPOCH_STEP) + 1) * EPOCH_STEP + place;
-    const message: Message = { kind: "vote", epoch, holder: self, namedBy };
-    const won = await ledger.gather(
-      message,
-      (reply) => flag(reply, "yes"),
-      () => this.vote(message),
-      () => [ledger.members()],
-      STORE_WAIT_US,
-    );
-    if (won.isErr || this.epoch() !== epoch) return false;
-    this.wonEpoch = epoch;
-    this.unseenSinceUs = undefined;
-    log.info(`Took the duty with epoch ${epoch}.`);
+    // One that is cut off proposes nothing: its terms would rise and unseat the holder once it is joined.
+    if (!ledger.isMember() || !ledger.isCounting || !this.hasMajority()) return false;
+    const question: Message = { kind: "unseen", holder: self, namedBy };
+    const free = await ledger.gather(question, (reply) => flag(reply, "yes"), async () => this.isFree(self, namedBy), STORE_WAIT_US);
+    if (free.isErr) return false;
+    const before = ledger.term()?.number ?? 0;
+    const decided = await ledger.decide(GRANT_KEY, (now) => {
+      const known = readTerm(now);
+      const isMine = known?.holder === self && known.life === ledger.lifeName;
+      return isMine || (known?.number ?? 0) <= before ? JSON.stringify({ holder: self, life: ledger.lifeName }) : undefined;
+    });
+    const term = decided.isOk ? readTerm(decided.value) : undefined;
+    if (!term || term.holder !== self || term.life !== ledger.lifeName) return false;
+    this.won = term;
+    this.holderUnseenUs = undefined;
+    log.info(`Took the duty with term ${term.number}.`);
     return true;
   };
 
-  /** Says yes once to a newer epoch, if the holder is unseen here, named this one itself, or asks again. */
-  private readonly vote = async (message: Message): Promise<boolean> => {
-    const { ledger, stands, self } = this.options;
+  /** Whether the duty is free for this proposer, as seen from here. */
+  private readonly isFree = (proposer: string, namedBy: string): boolean => {
+    const { stands, self, ledger } = this.options;
     const holder = this.holder();
-    const proposer = text(message, "holder");
-    const epoch = Number(message["epoch"]);
-    const holderSeen = holder !== "" && (holder === self ? this.isHolder() : stands(holder));
-    const free = !holderSeen || holder === proposer || message["namedBy"] === holder;
-    if (!(epoch > this.epoch()) || !free || !ledger.isCounting) return false;
-    ledger.merge([grantRegister(epoch, proposer)]);
-    return ledger.safe();
+    if (!ledger.isCounting) return false;
+    const isSeen = holder !== "" && (holder === self ? this.isHolder() : stands(holder));
+    return !isSeen || holder === proposer || namedBy === holder;
+  };
+
+  /** A newcomer takes the place of the member that has been unseen longest, or a new one if all are seen. */
+  private readonly join = async (id: string): Promise<{ readonly yes: boolean; readonly why: string }> => {
+    const { ledger, clock, ask } = this.options;
+    if (!this.isHolder()) return { yes: false, why: "this box does not hold the duty" };
+    if (ledger.members().includes(id)) return { yes: !isJoint(ledger.roster()), why: "the roster is changing" };
+    // Asked now, so that a request that was long on its way adds nobody who doesn't know that it was let go.
+    const reply = await ask(id, { kind: "contact", roster: packRoster(ledger.roster()) }, STORE_WAIT_US);
+    const isReady = reply !== undefined && flag(reply, "counts") && isRec(reply["roster"]) && readRoster(asRec(reply["roster"])).number === ledger.roster().number;
+    if (!isReady) return { yes: false, why: "the newcomer has not caught up" };
+    this.watch();
+    const unseen = [...this.unseenUs].sort(([, a], [, b]) => a - b)[0];
+    if (unseen && clock.nowUs() - unseen[1] < REPLACE_US) return { yes: false, why: `${unseen[0]} may come back` };
+    const changed = await this.change((members) => [...members.filter((member) => member !== unseen?.[0]), id]);
+    return { yes: changed, why: "no quorum" };
+  };
+
+  private readonly leave = async (id: string): Promise<{ readonly yes: boolean; readonly why: string }> => {
+    const { ledger, withstandMachines } = this.options;
+    if (!this.isHolder()) return { yes: false, why: "this box does not hold the duty" };
+    const { members } = ledger.roster();
+    if (!members.includes(id)) return { yes: !isJoint(ledger.roster()), why: "the roster is changing" };
+    if (members.length - 1 < 2 * withstandMachines + 1) return { yes: false, why: "too few would be left" };
+    return { yes: await this.change((all) => all.filter((member) => member !== id)), why: "the others don't hold everything yet" };
   };
 
-  private readonly changeRoster = async (change: (members: readonly string[]) => readonly string[]): Promise<boolean> => {
-    const { ledger, withstandMachines, log } = this.options;
-    if (!this.isHolder()) return false;
-    const epoch = this.epoch();
-    const read = await ledger.readAndMend();
-    if (read.isErr || !this.isHolder()) return false;
-    const before = ledger.get(ROSTER_KEY);
-    const members = membersOf(before);
-    const wanted = [...new Set(change(members))].sort();
-    if (wanted.join() === members.join()) return true;
-    if (wanted.length < members.length && wanted.length < 2 * withstandMachines + 1) return false;
-    const written = await ledger.write([rosterRegister((before?.version ?? 0) + 1, wanted)], epoch);
-    if (written.isOk) log.info(`The roster is now ${wanted.join(", ")}.`);
-    return written.isOk;
+  private readonly change = async (to: (members: readonly string[]) => readonly string[]): Promise<boolean> => {
+    const { ledger, moveMore, log } = this.options;
+    const changed = await ledger.changeMembers(to, moveMore);
+    if (changed.isOk) log.info(`The roster is now ${ledger.members().join(", ")}.`);
+    return changed.isOk;
   };
 }
--- a/src/interlocking/keys.ts
+++ b/src/interlocking/keys.ts
@@ -4,7 +4,8 @@
 import { MS } from "../trackbed/span.js";
 import type { Message } from "../trackbed/wire.js";
 import { readAnswer, readPurge, type KeptAnswer, type KeyBook, type Purge } from "./keybook.js";
-import { quorumOf, readQuorumOf, type Ledger } from "./ledger.js";
+import type { Ledger } from "./ledger.js";
+import { quorumOf, readQuorumOf } from "./roster.js";
 
 export type KeyVerdict =
   /** A quorum holds the token: its bearer alone may run the operation. */
@@ -31,6 +32,7 @@
 
 const CLAIM_WAIT_US = 400 * MS;
 const KEEP_WAIT_US = 250 * MS;
+const SPREAD_WAIT_US = 1_500 * MS;
 const SMALL_BYTES = 256;
 
 const packAnswer = (answer: KeptAnswer): Rec => ({ status: answer.status, heads: answer.heads, ...(answer.body ? { body: answer.body } : {}) });
@@ -62,46 +64,58 @@
     const { book, ledger, log } = this.options;
     if (this.counting || this.reading || !ledger.isMember() || !ledger.isCounting) return;
     this.reading = true;
+    const read = await this.refresh();
+    this.reading = false;
+    if (!read || !(await book.begin())) return;
+    this.counting = true;
+    book.purges().forEach(this.options.onPurge);
+    log.info(`Caught up with ${book.size} operation keys.`);
+  };
+
+  /** Brings what a quorum of the old members holds to a quorum of the new ones; true once that is done. */
+  readonly spread = async (): Promise<boolean> => {
+    const { ledger } = this.options;
+    const spread = await ledger.gather({ kind: "key-refresh" }, (reply) => flag(reply, "kept"), this.refresh, SPREAD_WAIT_US);
+    return spread.isOk;
+  };
+
+  /** Reads a reading quorum's books into this one; true once all of it is safe here. */
+  private readonly refresh = async (): Promise<boolean> => {
+    const { book } = this.options;
     const merges: Promise<boolean>[] = [];
     const read = await this.gatherToRead({ kind: "key-book" }, (reply) => {
       if (!flag(reply, "counts")) return false;
       merges.push(book.unpack(reply));
       return true;
     });
-    this.reading = false;
-    if (!read || !(await Promise.all(merges)).every((done) => done) || !(await book.begin())) return;
-    this.counting = true;
-    book.purges().forEach(this.options.onPurge);
-    log.info(`Caught up with ${book.size} operation keys.`);
+    return (await Promise.all(merges)).every((done) => done) && read;
   };
 
   readonly claim = async (key: string, token: string): Promise<KeyVerdict> => {
-    const { book, ledger, withstandMachines } = this.options;
+    const { self, book, ledger, withstandMachines } = this.options;
     const known = book.answerOf(key);
     if (known?.body && book.tokenOf(key) !== token) return { kind: "done", answer: known };
+    const takers = new Set<string>();
     let others = 0;
-    let taken = 0;
     let isDone = known !== undefined;
-    const hear = (reply: Message): boolean => {
-      if (reply["verdict"] === "taken") taken += 1;
+    const hear = (id: string, reply: Message): boolean => {
+      if (reply["verdict"] === "taken") takers.add(id);
       if (reply["verdict"] === "other") others += 1;
       if (flag(reply, "done")) isDone = true;
       return reply["verdict"] === "taken";
     };
     const won = await ledger.gather(
       { kind: "key-claim", key, token },
-      hear,
-      async () => hear(await this.answerClaim(key, token)),
-      () => [ledger.members()],
+      (reply, id) => hear(id, reply),
+      async () => hear(self, await this.answerClaim(key, token)),
       CLAIM_WAIT_US,
     );
     if (won.isOk) return { kind: "won" };
     if (isDone) return this.fetch(key);
     if (others === 0) return { kind: "none" };
     // Unless the others could have won among those that did not answer, nobody has.
-    const members = ledger.members();
-    const needed = quorumOf(members, withstandMachines);
-    return others + (members.length - others - taken) >= needed ? { kind: "working" } : { kind: "split" };
+    const couldOthers = ledger.rosters().every((members) => members.filter((id) => !takers.has(id)).length >= quorumOf(members, withstandMachines));
+    return couldOthers ? { kind: "working" } : { kind: "split" };
   };
 
   /** Takes back a token that has not run and never will. */
@@ -113,23 +127,25 @@
   /** Keeps the answer at a quorum, whole, and tells the rest that there is one. */
   readonly keep = async (key: string, token: string, answer: KeptAnswer): Promise<boolean> => {
     const { self, book, ledger, ask, stands, withstandMachines } = this.options;
-    const members = ledger.members();
-    const needed = quorumOf(members, withstandMachines);
-    const others = members.filter((id) => id !== self).sort((a, b) => Number(stands(b)) - Number(stands(a)));
+    const others = ledger.members().filter((id) => id !== self).sort((a, b) => Number(stands(b)) - Number(stands(a)));
     const whole: Message = { kind: "key-done", key, token, answer: packAnswer(answer) };
     const isSmall = (answer.body?.length ?? 0) <= SMALL_BYTES;
     const note: Message = { kind: "key-done", key, token, answer: packAnswer({ ...answer, body: undefined }) };
-    const hold = async (id: string): Promise<boolean> => (await ask(id, whole, KEEP_WAIT_US))?.["kept"] === true;
-    const first = isSmall ? others : others.slice(0, needed - 1);
+    const kept = new Set<string>();
+    const hold = async (id: string): Promise<void> => {
+      if ((await ask(id, whole, KEEP_WAIT_US))?.["kept"] === true) kept.add(id);
+    };
+    const isHeld = () => ledger.rosters().every((members) => members.filter((id) => kept.has(id)).length >= quorumOf(members, withstandMachines));
+    const first = isSmall ? others : others.slice(0, quorumOf(ledger.members(), withstandMachines) - 1);
     const rest = others.filter((id) => !first.includes(id));
-    const held = await Promise.all([book.keep(key, token, answer), ...first.map(hold)]);
-    const count = held.filter((kept) => kept).length;
-    if (count >= needed) {
+    if (await book.keep(key, token, answer)) kept.add(self);
+    await Promise.all(first.map(hold));
+    if (isHeld()) {
       rest.forEach((id) => void ask(id, note, 0));
       return true;
     }
-    const more = await Promise.all(rest.map(hold));
-    return count + more.filter((kept) => kept).length >= needed;
+    await Promise.all(rest.map(hold));
+    return isHeld();
   };
 
   readonly purge = async (what: Omit<Purge, "id">): Promise<boolean> => {
@@ -139,7 +155,6 @@
       { kind: "key-purge", ...purge },
       (reply) => flag(reply, "kept"),
       () => this.takePurge(purge),
-      () => [ledger.members()],
       CLAIM_WAIT_US,
     );
     return held.isOk;
@@ -177,6 +192,10 @@
         const answer = book.answerOf(text(message, "key"));
         return { kind: "done", ...(answer ? { answer: packAnswer(answer) } : {}) };
       }
+      case "key-refresh": {
+        await this.catchUp();
+        return { kind: "done", kept: this.counting && (await this.refresh()) };
+      }
       case "key-purge":
         return { kind: "done", kept: await this.takePurge(readPurge(message)) };
       case "key-purges": {
@@ -216,22 +235,21 @@
   /** Asks as many counting copies as share a member with every quorum. */
   private readonly gatherToRead = async (message: Message, accepts: (reply: Message) => boolean): Promise<boolean> => {
     const { self, ledger, ask, withstandMachines } = this.options;
-    const members = ledger.members();
-    const needed = readQuorumOf(members, withstandMachines);
-    const others = members.filter((id) => id !== self);
-    const own = this.counting && members.includes(self) ? 1 : 0;
-    if (members.length === 0) return false;
+    const sets = ledger.rosters();
+    const held = new Set(this.counting ? [self] : []);
+    const others = ledger.members().filter((id) => id !== self);
+    if (others.length === 0 && held.size === 0) return false;
+    const isEnough = () => sets.every((members) => members.filter((id) => held.has(id)).length >= readQuorumOf(members, withstandMachines));
     return new Promise((resolve) => {
-      let held = own;
       let open = others.length;
       const look = () => {
-        if (held >= needed) resolve(true);
+        if (isEnough()) resolve(true);
         else if (open === 0) resolve(false);
       };
       others.forEach((id) => {
         void ask(id, message, CLAIM_WAIT_US).then((reply) => {
           open -= 1;
-          if (reply && accepts(reply)) held += 1;
+          if (reply && accepts(reply)) held.add(id);
           look();
         });
       });
--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -1,19 +1,44 @@
 import Emittery from "emittery";
 import { err, ok, type Result } from "true-myth/result";
-import type { Clock } from "../trackbed/clock.js";
+import { rest, within, type Clock } from "../trackbed/clock.js";
 import type { Log } from "../trackbed/log.js";
-import { asRec, flag, list, parseJson, textOf, whole } from "../trackbed/shape.js";
-import type { Message } from "../trackbed/wire.js";
+import { asList, asRec, flag, isRec, list, numberOf, parseJson, text, textOf, whole, type Rec } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
+import type { Message } from "../trackbed/wire.js";
 import type { Archive } from "./archive.js";
-import { makeRegister, packRegister, readRegister, type Register, type Registers } from "./register.js";
+import { higherOf, isHigher, isSame, NO_BALLOT, packBallot, readBallot, type Ballot } from "./ballot.js";
+import { bucketOf, Copy, packPending, packTold, readItem, readPending, readTold, type Entry, type Pending, type Told } from "./copy.js";
+import { applyOrder, makeRegister, packRegister, type Register } from "./register.js";
+import { everyoneOf, isJoint, majorityOf, packRoster, quorumOf, readQuorumOf, readRoster, setsOf, type Roster } from "./roster.js";
+import { Together } from "./together.js";
 
 export type LedgerMishap =
   | { readonly kind: "no-quorum"; readonly held: number; readonly needed: number }
-  | { readonly kind: "stale"; readonly what: "epoch" | "roster" };
+  | { readonly kind: "stale"; readonly what: "term" | "roster" }
+  /** Another content was agreed under this number; no part of the order is or will be in force. */
+  | { readonly kind: "conflict"; readonly key: string; readonly version: number }
+  /** The order names what isn't there; no part of it is or will be in force. */
+  | { readonly kind: "invalid"; readonly sentence: string }
+  /** Parts of the order may be in force, or may be so later. */
+  | { readonly kind: "unclear"; readonly sentence: string };
 
 export const GRANT_KEY = "duty/grant";
-export const ROSTER_KEY = "duty/roster";
+
+/** Who holds the duty: a number is granted once, to one life of one box. */
+export interface Term {
+  readonly number: number;
+  readonly holder: string;
+  readonly life: string;
+}
+
+export const readTerm = (grant: Register | undefined): Term | undefined => {
+  if (!grant) return undefined;
+  const rec = asRec(parseJson(grant.body), "grant");
+  return { number: grant.version, holder: text(rec, "holder"), life: text(rec, "life") };
+};
+
+/** The kinds of messages that `answer` takes. */
+export const LEDGER_KINDS: ReadonlySet<string> = new Set(["promise", "accept", "read", "contact", "roster-promise", "roster-accept"]);
 
 /** How the ledger reaches other copies; the links of signalling fit it, and so does a test's own net. */
 export interface Asker {
@@ -23,251 +48,918 @@
 
 export interface LedgerOptions {
   readonly self: string;
-  readonly registers: Registers;
   readonly archive: Archive;
-  /** Whom to ask for as long as no roster is known. */
-  readonly seeds: readonly string[];
+  /** What the archive's snapshots are made of. */
+  readonly copy: Copy;
+  /** The roster of the first start, and whom to ask for as long as no roster is known. */
+  readonly seeds: () => readonly string[];
   readonly asker: Asker;
   readonly clock: Clock;
+  /** From 0 to 1: names this life, and spreads the waits after a collision. */
+  readonly random: () => number;
   readonly withstandMachines: number;
   readonly log: Log;
 }
 
 export const READ_WAIT_US = 350 * MS;
 export const STORE_WAIT_US = 600 * MS;
+/** After a quorum has answered, so long is waited for the rest, so that all take part where all are well. */
+const GRACE_US = 10 * MS;
+/** No try begins later than this after the call. */
+const TRY_US = 900 * MS;
+const TRIES_MOST = 40;
+const PAUSE_US = 8 * MS;
+const PAUSE_MOST_US = 200 * MS;
+const LOOK_AGAIN_US = 30 * MS;
+/** Contact is asked for once for all that came in so long. */
+const CONTACT_GATHER_US = 40 * MS;
+/** A piece of a copy ends with the bucket that fills it. */
+const PIECE_BYTES = 64 * 1024;
+const PIECES_MOST = 64;
+const FINISH_AT_ONCE = 256;
+const CATCH_UP_TURNS = 3;
 
-export const rosterRegister = (version: number, members: readonly string[]): Register =>
-  makeRegister(ROSTER_KEY, version, JSON.stringify([...members].sort()));
+/** Why a try failed. */
+type Setback =
+  | { readonly kind: "no-quorum"; readonly held: number; readonly needed: number }
+  /** Another try was promised more, or the roster has moved on: worth another try at once or soon. */
+  | { readonly kind: "again"; readonly soon: boolean }
+  | { readonly kind: "term" };
 
-export const membersOf = (roster: Register | undefined): readonly string[] => {
-  if (!roster) return [];
-  const value = parseJson(roster.body);
-  return Array.isArray(value) ? value.map(textOf) : [];
-};
+/** A try that a quorum has promised to. */
+interface Attempt {
+  readonly ballot: Ballot;
+  readonly roster: Roster;
+  readonly found: ReadonlyMap<string, Told>;
+  readonly lives: ReadonlyMap<string, string>;
+}
 
-export const quorumOf = (members: readonly string[], withstandMachines: number): number =>
-  Math.min(members.length, Math.max(Math.floor(members.length / 2) + 1, withstandMachines + 1));
+type Content = Register | undefined;
+type Items = readonly (readonly [string, Content])[];
 
-/** As many copies as share a member with every quorum. */
-export const readQuorumOf = (members: readonly string[], withstandMachines: number): number => members.length - quorumOf(members, withstandMachines) + 1;
+/** What one copy holds, as told for a reading. */
+interface View {
+  readonly counts: boolean;
+  readonly told: ReadonlyMap<string, Told>;
+  /** Buckets in which it holds the same ballots as the asker held when it asked. */
+  readonly same: ReadonlySet<number>;
+}
+
+interface Gathering<T> {
+  readonly sets: () => readonly (readonly string[])[];
+  readonly needed: (members: readonly string[]) => number;
+  readonly ask: (id: string) => Promise<T | undefined>;
+  readonly graceUs?: number;
+}
 
 /**
- * One copy of the control state, and the reads and writes over a quorum of copies.
- * Invariants: a copy answers for a register only once it is safe on its own disk; a copy that may have lost what it
- * once held is not `counting`, and its answers fill no quorum, until it has read a majority of counting ones.
+ * One copy of the control state, and the reads and writes over quorums of copies.
+ *
+ * Each register is decided by its own chain of ballots: a quorum promises, what it has accepted is changed, a quorum
+ * accepts. Invariants: a copy answers only for what is safe on its own disk; a copy that may have lost what it once
+ * held is not `counting`, and neither promises nor accepts, until it has caught up from copies that share a member with
+ * every quorum, which from then on take no try that began before; only what a quorum accepted is ever shown.
  */
 export class Ledger {
-  readonly events = new Emittery<{ settled: readonly Register[]; counting: undefined }>();
-  private counting = false;
-  /** The digests, by key, of what is known to be held by a quorum. */
-  private readonly settled = new Map<string, string>();
-  private dirty = false;
+  readonly events = new Emittery<{ settled: readonly Register[]; counting: undefined; roster: Roster; behind: undefined }>();
+  private readonly copy: Copy;
+  private readonly life: string;
+  /** What has changed and is not yet on its way to the disk. */
+  private unsaved: readonly Rec[] = [];
+  /** What the disk refused is only safe again with the whole state. */
+  private mustKeepWhole = false;
   private keeping: Promise<boolean> | undefined;
+  private whyNot = "it has not started";
+  private readonly readings: Together<undefined, Result<void, LedgerMishap>>;
+  private readonly contacts: Together<undefined, boolean>;
+  private changing = false;
+  private heardTerm = 0;
+  private refusals = 0;
+  /** The last floor raised for each copy that caught up; the further pieces of a reading bear the same one. */
+  private readonly raised = new Map<string, Ballot>();
 
-  constructor(private readonly options: LedgerOptions) {}
+  constructor(private readonly options: LedgerOptions) {
+    this.copy = options.copy;
+    this.life = Math.floor(options.random() * 2 ** 48).toString(36);
+    this.readings = new Together(() => this.readNow());
+    this.contacts = new Together(() => this.contactNow());
+  }
 
   get isCounting(): boolean {
-    return this.counting;
+    return this.copy.isCounting;
+  }
+
+  /** Why this copy doesn't count; empty if it does. */
+  get doubt(): string {
+    return this.isCounting ? "" : this.whyNot;
   }
 
-  readonly get = (key: string): Register | undefined => this.options.registers.get(key);
+  /** This life of this box, as terms and ballots name it. */
+  get lifeName(): string {
+    return this.life;
+  }
+
+  /** What is known to be agreed under the key. */
+  readonly get = (key: string): Register | undefined => this.copy.agreedAt(key);
+
+  readonly all = (): readonly Register[] => this.copy.allAgreed();
 
-  readonly all = (): readonly Register[] => this.options.registers.all();
+  /** The newest decided roster known here. */
+  readonly roster = (): Roster => this.copy.roster;
 
-  readonly members = (): readonly string[] => membersOf(this.get(ROSTER_KEY));
+  readonly rosters = (): readonly (readonly string[])[] => setsOf(this.copy.roster);
+
+  /** Everyone whose copy counts, of both sets while the roster is joint. */
+  readonly members = (): readonly string[] => everyoneOf(this.copy.roster);
 
   readonly isMember = (): boolean => this.members().includes(this.options.self);
 
-  readonly isSettled = (key: string): boolean => {
-    const register = this.get(key);
-    return register !== undefined && this.settled.get(key) === register.digest;
-  };
+  readonly isSettled = (key: string): boolean => this.copy.entry(key).isAgreed;
+
+  /** The newest term that this copy knows to be granted. */
+  readonly term = (): Term | undefined => readTerm(this.get(GRANT_KEY));
+
+  /** Whether this copy holds a term above this one, agreed or only offered. */
+  readonly isOvertaken = (term: Term): boolean => isAbove(this.copy.entry(GRANT_KEY).register, term) || isAbove(this.get(GRANT_KEY), term);
 
   /** The first start of the whole system, a start with a disk that kept its files, or one that lost them. */
   readonly start = async (firstRun: boolean): Promise<void> => {
-    const { seeds, self } = this.options;
-    const loaded = await this.options.archive.load();
-    if (loaded) {
-      this.options.registers.merge(loaded);
-      this.counting = true;
-    } else if (firstRun && seeds.includes(self)) {
-      this.merge([rosterRegister(1, seeds)]);
-      this.counting = true;
+    const { self, archive, log } = this.options;
+    const seeds = this.options.seeds();
+    const loaded = await archive.load();
+    if (loaded.kind !== "empty") loaded.records.forEach(this.copy.replay);
+    if (loaded.kind === "doubtful") {
+      this.copy.doubt();
+      this.whyNot = loaded.why;
+      log.warn(`This copy does not count until it has caught up: ${loaded.why}.`);
+    } else if (loaded.kind === "empty" && firstRun && seeds.includes(self)) {
+      this.note(this.copy.takeRoster({ number: 1, members: [...seeds].sort(), from: [] }));
+      this.note(this.copy.setCounting());
       await this.safe();
+      await archive.keepWhole();
+    } else if (this.isCounting && !this.isMember()) {
+      this.copy.doubt();
+      this.whyNot = "it is not on the roster";
+    } else if (!this.isCounting) this.whyNot = loaded.kind === "empty" ? "its disk is empty" : "it never caught up";
+  };
+
+  /** Resolves to true once everything noted before the call is safe on this machine's disk. */
+  readonly safe = (): Promise<boolean> => {
+    const earlier = this.keeping;
+    if (this.unsaved.length === 0 && !this.mustKeepWhole) return earlier ?? Promise.resolve(true);
+    const { archive, log } = this.options;
+    const records = this.unsaved;
+    const isWhole = this.mustKeepWhole;
+    this.unsaved = [];
+    this.mustKeepWhole = false;
+    const mine = (isWhole ? archive.keepWhole() : archive.keep(records)).then((kept) => {
+      if (kept.isErr) {
+        this.mustKeepWhole = true;
+        log.warn(`The disk refused a version: ${kept.error.sentence}.`);
+      }
+      return kept.isOk;
+    });
+    const all = Promise.all([earlier ?? true, mine]).then((done) => done.every(Boolean));
+    this.keeping = all;
+    void all.then(() => {
+      if (this.keeping === all) this.keeping = undefined;
+    });
+    return all;
+  };
+
+  // --- what colleagues ask ------------------------------------------------------------------------------------------
+
+  /** Answers a colleague's question of one of LEDGER_KINDS. */
+  readonly answer = async (message: Message): Promise<Message> => {
+    switch (message.kind) {
+      case "promise":
+        return this.answerPromise(message);
+      case "accept":
+        return this.answerAccept(message);
+      case "read":
+        return this.answerRead(message);
+      case "roster-promise":
+      case "roster-accept":
+        return this.answerRoster(message);
+      default: {
+        this.hearRoster(message);
+        const term = this.get(GRANT_KEY);
+        return { kind: "here", counts: this.isCounting, roster: packRoster(this.copy.roster), ...(term ? { grant: packRegister(term) } : {}) };
+      }
     }
   };
 
-  readonly merge = (registers: readonly Register[]): readonly Register[] => {
-    const changed = this.options.registers.merge(registers);
-    if (changed.length > 0) this.dirty = true;
-    return changed;
+  /** Hears from a colleague what a quorum has accepted; what this copy does not hold the same way waits for a reading. */
+  readonly hearSettled = (message: Message): void => {
+    this.hearRoster(message);
+    const marks = list(message, "items", asList).map((item): readonly [string, Ballot] => [textOf(item[0]), readBallot(item[1])]);
+    marks.forEach(([, ballot]) => this.copy.see(ballot));
+    this.settle(marks);
+    if (marks.some(([key, ballot]) => isHigher(ballot, this.copy.entry(key).ballot))) void this.events.emit("behind");
+  };
+
+  private readonly answerPromise = async (message: Message): Promise<Message> => {
+    const ballot = readBallot(message["ballot"]);
+    const keys = list(message, "keys", textOf);
+    const refusal = this.refusalOf(message) ?? this.lowerThanPromised(keys, ballot);
+    if (refusal) return refusal;
+    this.note(this.copy.promise(keys, ballot));
+    const entries = keys.map((key) => this.copy.entry(key));
+    if (!(await this.safe())) return refused("disk");
+    const have = list(message, "have", readBallot);
+    const rows = entries.flatMap((entry, at) => (entry.ballot.number === 0 ? [] : [packTold(entry, !isSame(entry.ballot, have[at] ?? NO_BALLOT))]));
+    return { kind: "promised", life: this.life, entries: rows };
+  };
+
+  private readonly answerAccept = async (message: Message): Promise<Message> => {
+    const ballot = readBallot(message["ballot"]);
+    const items = list(message, "items", readItem);
+    const isOtherLife = asRec(message["lives"])[this.options.self] !== this.life;
+    const refusal = this.refusalOf(message) ?? (isOtherLife ? refused("life") : this.lowerThanPromised(items.map(([key]) => key), ballot));
+    if (refusal) return refusal;
+    this.note(this.copy.vote(ballot, items));
+    return (await this.safe()) ? { kind: "accepted" } : refused("disk");
   };
 
-  /** Resolves to true once everything merged before the call is safe on this machine's disk. */
-  readonly safe = async (): Promise<boolean> => {
-    while (this.dirty || this.keeping) {
-      if (this.dirty) {
-        this.dirty = false;
-        const keeping = this.options.archive.keep().then((kept) => {
-          if (kept.isErr) {
-            this.dirty = true;
-            this.options.log.warn(`The disk refused a version: ${kept.error.sentence}.`);
-          }
-          return kept.isOk;
+  private readonly lowerThanPromised = (keys: readonly string[], ballot: Ballot): Message | undefined =>
+    keys.some((key) => isHigher(this.copy.promisedFor(key), ballot)) ? refused("ballot", this.copy.highest) : undefined;
+
+  /** Why this copy takes part in nothing that the message asks for. */
+  private readonly refusalOf = (message: Message): Message | undefined => {
+    if (!this.isCounting) return refused("not-counting");
+    const stale = this.refusalOfRoster(message);
+    if (stale) return stale;
+    const term = isRec(message["term"]) ? readPackedTerm(message["term"]) : undefined;
+    return term && this.isOvertaken(term) ? refused("term") : undefined;
+  };
+
+  private readonly refusalOfRoster = (message: Message): Message | undefined => {
+    this.hearRoster(message);
+    const { roster } = this.copy;
+    return readRoster(message["roster"]).number < roster.number ? { ...refused("roster", this.copy.highest), roster: packRoster(roster) } : undefined;
+  };
+
+  private readonly answerRead = async (message: Message): Promise<Message> => {
+    const floor = message["floor"] === undefined ? undefined : readBallot(message["floor"]);
+    if (!this.isCounting && floor) return refused("not-counting");
+    const stale = this.refusalOfRoster(message);
+    if (stale) return stale;
+    if (floor && !isSame(floor, this.raised.get(floor.by) ?? NO_BALLOT)) {
+      if (floor.number <= this.copy.highest) return refused("ballot", this.copy.highest);
+      this.note(this.copy.raiseFloor(floor));
+      this.raised.set(floor.by, floor);
+    }
+    const sums = this.copy.bucketSums();
+    const theirs = list(message, "sums", textOf);
+    const same: number[] = [];
+    const rows: (readonly unknown[])[] = [];
+    let bucket = whole(message, "from");
+    for (let bytes = 0; bucket < sums.length && bytes < PIECE_BYTES; bucket += 1) {
+      if (sums[bucket] === theirs[bucket]) same.push(bucket);
+      else
+        this.copy.inBucket(bucket).forEach((entry) => {
+          rows.push(packTold(entry, true));
+          bytes += (entry.register?.body.length ?? 0) + 64;
         });
-        this.keeping = keeping;
-        const safe = await keeping;
-        if (this.keeping === keeping) this.keeping = undefined;
-        if (!safe) return false;
-        return true;
-      }
-      if (!(await this.keeping)) return false;
     }
-    return true;
+    const unsure = list(message, "unsure", textOf);
+    unsure.filter((key) => same.includes(bucketOf(key))).forEach((key) => rows.push(packTold(this.copy.entry(key), false)));
+    const counts = (await this.safe()) && this.isCounting;
+    return { kind: "copy", counts, same, entries: rows, next: bucket, ...(this.copy.pending ? { pending: packPending(this.copy.pending) } : {}) };
   };
 
-  /** Answers a colleague's read or store. */
-  readonly answer = async (message: Message): Promise<Message> => {
-    const roster = this.get(ROSTER_KEY)?.version ?? 0;
-    if (message.kind === "store") {
-      const epoch = typeof message["epoch"] === "number" ? message["epoch"] : undefined;
-      if (epoch !== undefined && epoch < this.epoch()) return { kind: "refused", why: "epoch" };
-      this.merge(list(message, "registers", readRegister));
-      const safe = await this.safe();
-      return { kind: "stored", safe: safe && this.counting, roster };
+  private readonly answerRoster = async (message: Message): Promise<Message> => {
+    if (!this.isCounting) return refused("not-counting");
+    const number = whole(message, "number");
+    this.hearRoster(message);
+    const { roster, pending } = this.copy;
+    if (number <= roster.number) return { ...refused("roster", this.copy.highest), roster: packRoster(roster) };
+    const ballot = readBallot(message["ballot"]);
+    if (number > roster.number + 1) return refused("roster");
+    if (isHigher(this.copy.promisedForRoster(number), ballot)) return refused("ballot", this.copy.highest);
+    if (message.kind === "roster-promise") {
+      this.note(this.copy.takePending({ number, promised: ballot, ballot: pending?.ballot ?? NO_BALLOT, roster: pending?.roster }));
+      if (!(await this.safe())) return refused("disk");
+      return { kind: "promised", life: this.life, pending: packPending(pending ?? { number, promised: ballot, ballot: NO_BALLOT, roster: undefined }) };
     }
-    const safe = await this.safe();
-    const theirs = String(message["digest"]);
-    const digest = this.options.registers.digest();
-    const registers = theirs === digest ? [] : this.options.registers.inBucketsThatDiffer(theirs).map(packRegister);
-    return { kind: "copy", counts: safe && this.counting, digest, registers };
-  };
-
-  /** Reads a majority and merges what it holds; the answer says whether all of it already agreed. */
-  readonly read = async (waitUs = READ_WAIT_US): Promise<Result<{ readonly agreed: boolean }, LedgerMishap>> => {
-    const { registers } = this.options;
-    const digest = registers.digest();
-    const copies: (readonly Register[])[] = [];
-    const others = new Set<string>();
-    const gathered = await this.gather(
-      { kind: "read", digest },
-      (reply) => {
-        const theirs = list(reply, "registers", readRegister);
-        this.merge(theirs);
-        copies.push(theirs);
-        others.add(String(reply["digest"]));
-        return flag(reply, "counts");
+    if (asRec(message["lives"])[this.options.self] !== this.life) return refused("life");
+    this.note(this.copy.takePending({ number, promised: ballot, ballot, roster: readRoster(message["next"]) }));
+    return (await this.safe()) ? { kind: "accepted" } : refused("disk");
+  };
+
+  // --- contact ------------------------------------------------------------------------------------------------------
+
+  /** True once a majority of counting members has answered a question sent after this call; one round for all that wait. */
+  readonly contact = (): Promise<boolean> => this.contacts.add(undefined);
+
+  private readonly contactNow = async (): Promise<boolean> => {
+    await rest(this.options.clock, CONTACT_GATHER_US);
+    const heard = await this.collect<Message>({
+      sets: this.rosters,
+      needed: majorityOf,
+      ask: async (id) => {
+        const reply = await this.askOne(id, { kind: "contact", roster: packRoster(this.copy.roster) }, READ_WAIT_US);
+        if (!reply) return undefined;
+        this.hearRoster(reply);
+        if (reply["grant"] !== undefined && isRec(reply["grant"])) this.hearGrant(reply["grant"]);
+        return flag(reply, "counts") ? reply : undefined;
       },
-      async () => this.counting && (await this.safe()),
-      () => [this.members().length > 0 ? this.members() : this.options.seeds],
-      waitUs,
-      // A copy that lost its own fills no quorum, so where as many are lost as may be, no more than these may be left.
-      this.counting ? quorumOf : readQuorumOf,
-    );
-    if (gathered.isErr) return err(gathered.error);
-    if (!this.counting && (await this.safe())) {
-      this.counting = true;
-      this.options.log.info("Caught up with a majority.");
-      void this.events.emit("counting");
+    });
+    return heard.isOk;
+  };
+
+  /** A newer grant that a colleague knows is reason enough to read, and to hold the duty no longer. */
+  private readonly hearGrant = (packed: unknown): void => {
+    const version = whole(asRec(packed), "version");
+    if (version > (this.get(GRANT_KEY)?.version ?? 0)) void this.events.emit("behind");
+    this.heardTerm = Math.max(this.heardTerm, version);
+  };
+
+  /** The number of the newest term heard of, granted. */
+  readonly newestTerm = (): number => Math.max(this.heardTerm, this.term()?.number ?? 0);
+
+  // --- orders -------------------------------------------------------------------------------------------------------
+
+  /**
+   * Decides one order of an operator, all items at one ballot. Ok: every item is held by a quorum, or was taken before
+   * and is, or has since been overtaken. `problemOf` is given what stands, by key, and tells what makes the order invalid.
+   */
+  readonly offer = (call: readonly Register[], problemOf?: (get: (key: string) => Register | undefined) => string | undefined): Promise<Result<void, LedgerMishap>> => {
+    const keys = [...new Set(call.map(({ key }) => key))];
+    let wasOffered = false;
+    let verdict: Result<void, LedgerMishap> = ok(undefined);
+    return this.tryOften(async () => {
+      const attempt = await this.prepare(keys);
+      if (attempt.isErr) return err(attempt.error);
+      const stands = new Map(keys.map((key): readonly [string, Content] => [key, this.contentOf(attempt.value, key)]));
+      const next = new Map(stands);
+      let mishap: LedgerMishap | undefined;
+      let isSeen = false;
+      call.forEach((order) => {
+        const applied = applyOrder(next.get(order.key), order);
+        if (applied.kind === "known") isSeen = true;
+        if (applied.kind === "fits") next.set(order.key, applied.next);
+        if (applied.kind === "conflict") mishap ??= { kind: "conflict", key: order.key, version: order.version };
+        if (applied.kind === "forgotten") mishap ??= { kind: "unclear", sentence: `what ${order.key} was at version ${order.version} is no longer known` };
+      });
+      if (!mishap && !isSeen && !wasOffered) {
+        const sentence = await this.problemNow(problemOf, stands);
+        if (sentence !== undefined) mishap = { kind: "invalid", sentence };
+      }
+      if (mishap) {
+        const isRefusal = mishap.kind === "conflict" || mishap.kind === "invalid";
+        if (isRefusal && (wasOffered || isSeen)) mishap = { kind: "unclear", sentence: "another order has one of its numbers, and parts of this one were offered" };
+        verdict = err(mishap);
+        if (mishap.kind === "unclear") return ok(undefined);
+      } else {
+        verdict = ok(undefined);
+        wasOffered = true;
+      }
+      // What stands is always accepted anew beside a refusal: a minority may have accepted parts of an earlier try at this
+      // order above the ballot that was agreed, and they must not come up later.
+      const items: Items = [...(mishap ? stands : next)];
+      const isDone = !mishap && items.every(([key, content]) => {
+        const entry = this.copy.entry(key);
+        return content === stands.get(key) && entry.isAgreed && isSame(entry.ballot, attempt.value.found.get(key)?.ballot ?? NO_BALLOT);
+      });
+      return isDone ? ok(undefined) : this.accept(attempt.value, items);
+    }).then((done) => done.andThen(() => verdict));
+  };
+
+  /** Compares and sets one register; `make` tells the new body, or undefined to leave it. Gives what stands afterwards. */
+  readonly decide = async (key: string, make: (now: Register | undefined) => string | undefined, term?: Term): Promise<Result<Register | undefined, LedgerMishap>> => {
+    let result: Register | undefined;
+    const done = await this.tryOften(async () => {
+      const attempt = await this.prepare([key], term);
+      if (attempt.isErr) return err(attempt.error);
+      const now = this.contentOf(attempt.value, key);
+      const body = make(now);
+      result = body === undefined ? now : makeRegister(key, (now?.version ?? 0) + 1, body);
+      return body === undefined ? ok(undefined) : this.accept(attempt.value, [[key, result]], term);
+    });
+    return done.map(() => result);
+  };
+
+  private readonly problemNow = async (problemOf: ((get: (key: string) => Register | undefined) => string | undefined) | undefined, stands: ReadonlyMap<string, Content>): Promise<string | undefined> => {
+    const look = () => problemOf?.((key) => stands.get(key) ?? this.get(key));
+    if (look() === undefined) return undefined;
+    // This copy may be old: nothing is called unknown before a quorum was read.
+    return (await this.read()).isOk ? look() : undefined;
+  };
+
+  private readonly tryOften = async (work: () => Promise<Result<void, Setback>>): Promise<Result<void, LedgerMishap>> => {
+    const { clock, random } = this.options;
+    const beganUs = clock.nowUs();
+    for (let turn = 0; ; turn += 1) {
+      const done = await work();
+      if (done.isOk) return ok(undefined);
+      const setback = done.error;
+      if (setback.kind === "no-quorum") return err(setback);
+      if (setback.kind === "term") return err({ kind: "stale", what: "term" });
+      if (clock.nowUs() - beganUs > TRY_US || turn >= TRIES_MOST) return err({ kind: "unclear", sentence: "other orders were in the way" });
+      if (setback.soon) continue;
+      await rest(clock, Math.round(random() * Math.min(PAUSE_MOST_US, PAUSE_US * 2 ** turn)));
     }
-    const agreed = registers.digest() === digest && [...others].every((other) => other === digest);
-    if (agreed) this.settle(this.all());
-    return ok({ agreed });
   };
 
-  /** Reads a majority, and writes back whatever some copy of it lacked, so that what is returned can't be lost. */
-  readonly readAndMend = async (): Promise<Result<void, LedgerMishap>> => {
-    const read = await this.read();
+  private readonly nextBallot = (): Ballot => {
+    const ballot = { number: this.copy.highest + 1, by: `${this.options.self}/${this.life}` };
+    this.copy.see(ballot);
+    return ballot;
+  };
+
+  private readonly contentOf = (attempt: Attempt, key: string): Content => {
+    const told = attempt.found.get(key);
+    return told === undefined || told.register === "same" ? undefined : told.register;
+  };
+
+  /** Asks for promises; what was accepted at the highest ballot is found under each key. */
+  private readonly prepare = async (keys: readonly string[], term?: Term): Promise<Result<Attempt, Setback>> => {
+    const { roster } = this.copy;
+    const ballot = this.nextBallot();
+    const before = keys.map((key) => this.copy.entry(key));
+    const message: Message = { kind: "promise", ballot: packBallot(ballot), roster: packRoster(roster), keys, have: before.map((entry) => packBallot(entry.ballot)), ...(term ? { term: { ...term } } : {}) };
+    const lives = new Map<string, string>();
+    const found = new Map<string, Told>();
+    const promised = await this.poll(roster, message, READ_WAIT_US, "promised", (id, reply) => {
+      lives.set(id, text(reply, "life"));
+      list(reply, "entries", readTold).forEach((told) => {
+        const known = found.get(told.key);
+        if (known && !isHigher(told.ballot, known.ballot)) return;
+        const at = told.register === "same" ? before.find((entry) => entry.key === told.key && isSame(entry.ballot, told.ballot)) : undefined;
+        found.set(told.key, at ? { ...told, register: at.register } : told);
+      });
+    });
+    return promised.map(() => ({ ballot, roster, found: new Map(found), lives: new Map(lives) }));
+  };
+
+  /** Asks those that promised to accept; then everyone is told. */
+  private readonly accept = async (attempt: Attempt, items: Items, term?: Term): Promise<Result<void, Setback>> => {
+    const { ballot, roster, lives } = attempt;
+    const message: Message = {
+      kind: "accept",
+      ballot: packBallot(ballot),
+      roster: packRoster(roster),
+      lives: Object.fromEntries(lives),
+      items: items.map(([key, content]) => [key, content ? packRegister(content) : null]),
+      ...(term ? { term: { ...term } } : {}),
+    };
+    const accepted = await this.poll(roster, message, STORE_WAIT_US, "accepted", () => undefined, (id) => lives.has(id));
+    if (accepted.isErr) return err(accepted.error);
+    // A proposer that is no member holds what it has brought about all the same.
+    this.note(this.copy.learn(items.map(([key, register]): Entry => ({ key, promised: NO_BALLOT, ballot, register, isVoted: false, isAgreed: true }))));
+    const fresh = items.flatMap(([, register]) => register ?? []);
+    if (fresh.length > 0) void this.events.emit("settled", fresh);
+    this.tell(items.map(([key]): readonly [string, Ballot] => [key, ballot]));
+    return ok(undefined);
+  };
+
+  private readonly tell = (marks: readonly (readonly [string, Ballot])[]): void =>
+    this.options.asker.send({ kind: "settled", roster: packRoster(this.copy.roster), items: marks.map(([key, ballot]) => [key, packBallot(ballot)]) });
+
+  /** Puts one question to the members of a roster; what stood in the way of a quorum is the setback. */
+  private readonly poll = async (
+    roster: Roster,
+    message: Message,
+    waitUs: number,
+    wanted: string,
+    take: (id: string, reply: Message) => void,
+    isAsked: (id: string) => boolean = () => true,
+  ): Promise<Result<void, Setback>> => {
+    let setback: Setback | undefined;
+    let isOpen = true;
+    const { withstandMachines } = this.options;
+    const polled = await this.collect<Message>({
+      sets: () => setsOf(roster),
+      needed: (members) => quorumOf(members, withstandMachines),
+      graceUs: GRACE_US,
+      ask: async (id) => {
+        const reply = isAsked(id) ? await this.askOne(id, message, waitUs) : undefined;
+        if (!reply || !isOpen) return undefined;
+        if (reply.kind === wanted) {
+          take(id, reply);
+          return reply;
+        }
+        this.hearRefusal(reply);
+        const why = reply["why"];
+        if (why === "term") setback = { kind: "term" };
+        else if (why === "ballot" || why === "life" || why === "roster") setback ??= { kind: "again", soon: why === "roster" };
+        return undefined;
+      },
+    });
+    isOpen = false;
+    return polled.isOk ? ok(undefined) : err(setback ?? polled.error);
+  };
+
+  // --- reading ------------------------------------------------------------------------------------------------------
+
+  /**
+   * Reads a quorum, adopts what is agreed, finishes what is found half accepted. Ok: everything confirmed before the
+   * call is known here. A copy that doesn't count catches up by the same way. Calls made meanwhile share a reading.
+   */
+  readonly read = (): Promise<Result<void, LedgerMishap>> => this.readings.add(undefined);
+
+  private readonly readNow = async (): Promise<Result<void, LedgerMishap>> => {
+    if (!this.isCounting) {
+      const caughtUp = await this.catchUp();
+      if (caughtUp.isErr) return caughtUp;
+    }
+    const first = await this.look();
+    if (first.isErr) return err(first.error);
+    if (first.value.length === 0) return ok(undefined);
+    // Most of what is not settled is just being settled by whoever offered it.
+    await rest(this.options.clock, Math.round(LOOK_AGAIN_US * (1 + this.options.random())));
+    const second = await this.look();
+    if (second.isErr) return err(second.error);
+    return this.finish(second.value);
+  };
+
+  /** Offers anew what stands, so that it is agreed. */
+  private readonly finish = async (keys: readonly string[]): Promise<Result<void, LedgerMishap>> => {
+    for (let at = 0; at < keys.length; at += FINISH_AT_ONCE) {
+      const part = keys.slice(at, at + FINISH_AT_ONCE);
+      const done = await this.tryOften(async () => {
+        const attempt = await this.prepare(part);
+        if (attempt.isErr) return err(attempt.error);
+        const items = part.filter((key) => attempt.value.found.has(key)).map((key): readonly [string, Content] => [key, this.contentOf(attempt.value, key)]);
+        return items.length === 0 ? ok(undefined) : this.accept(attempt.value, items);
+      });
+      if (done.isErr) return err(done.error);
+    }
+    return ok(undefined);
+  };
+
+  /** One look at a quorum: adopts what is agreed; gives the keys of which that is not sure. */
+  private readonly look = async (): Promise<Result<readonly string[], LedgerMishap>> => {
+    const { self, withstandMachines } = this.options;
+    const before = this.copy.entriesNow();
+    const unsure = this.copy.unsureKeys();
+    const sums = this.copy.bucketSums();
+    const views = new Map<string, View>();
+    const read = await this.collect<View>({
+      sets: this.rosters,
+      needed: (members) => quorumOf(members, withstandMachines),
+      graceUs: GRACE_US,
+      ask: async (id) => {
+        const view = id === self ? await this.ownView() : await this.view(id, sums, unsure);
+        if (!view?.counts) return undefined;
+        views.set(id, view);
+        return view;
+      },
+    });
     if (read.isErr) return err(read.error);
-    if (read.value.agreed) return ok(undefined);
-    return this.write(this.all().filter((register) => this.settled.get(register.key) !== register.digest));
+    const taken = new Map(views);
+    const keys = new Set([...unsure, ...[...taken.values()].flatMap(({ told }) => [...told.keys()])]);
+    return ok(this.adopt([...keys], before, taken));
+  };
+
+  /** Takes what the views show to be agreed; gives the keys of which none can tell. */
+  private readonly adopt = (keys: readonly string[], before: ReadonlyMap<string, Entry>, views: ReadonlyMap<string, View>): readonly string[] => {
+    const { self, withstandMachines } = this.options;
+    const learned: Entry[] = [];
+    const left: string[] = [];
+    keys.forEach((key) => {
+      const own = before.get(key);
+      const bucket = bucketOf(key);
+      const toldBy = (id: string): Told | undefined => {
+        const view = views.get(id);
+        if (id === self && view) return own && { ...own };
+        const told = view?.told.get(key);
+        if (told) return told;
+        return view?.same.has(bucket) && own ? { ...own, isVoted: false, isAgreed: false } : undefined;
+      };
+      const tellings = [...views.keys()].flatMap((id) => {
+        const told = toldBy(id);
+        return told ? [{ id, told }] : [];
+      });
+      const candidates = own && !views.has(self) ? [...tellings, { id: "", told: { ...own, isVoted: false } }] : tellings;
+      const top = candidates.reduce((most, { told }) => higherOf(most, told.ballot), NO_BALLOT);
+      if (top.number === 0) return;
+      const atTop = candidates.filter(({ told }) => isSame(told.ballot, top));
+      const voters = new Set(atTop.filter(({ told }) => told.isVoted).map(({ id }) => id));
+      const isAgreed = atTop.some(({ told }) => told.isAgreed) || this.rosters().every((members) => members.filter((id) => voters.has(id)).length >= quorumOf(members, withstandMachines));
+      if (!isAgreed) {
+        left.push(key);
+        return;
+      }
+      const content = own && isSame(own.ballot, top) ? { register: own.register } : atTop.flatMap(({ told }) => (told.register === "same" ? [] : [{ register: told.register }]))[0];
+      if (content) learned.push({ key, promised: NO_BALLOT, ballot: top, register: content.register, isVoted: false, isAgreed: true });
+    });
+    this.takeAgreed(learned);
+    return left;
+  };
+
+  private readonly takeAgreed = (entries: readonly Entry[]): void => {
+    const fresh = entries.filter(({ key, ballot }) => !(this.copy.entry(key).isAgreed && !isHigher(ballot, this.copy.entry(key).ballot)));
+    const marks = fresh.filter(({ key, ballot }) => isSame(this.copy.entry(key).ballot, ballot)).map(({ key, ballot }): readonly [string, Ballot] => [key, ballot]);
+    this.note(this.copy.learn(fresh.filter(({ key, ballot }) => !isSame(this.copy.entry(key).ballot, ballot))));
+    this.settle(marks);
+    const news = fresh.filter(({ key }) => !marks.some(([marked]) => marked === key)).flatMap(({ register }) => register ?? []);
+    if (news.length > 0) void this.events.emit("settled", news);
+  };
+
+  private readonly settle = (marks: readonly (readonly [string, Ballot])[]): void => {
+    const fresh = this.copy.markAgreed(marks);
+    if (fresh.length > 0) void this.events.emit("settled", fresh);
+  };
+
+  private readonly ownView = async (): Promise<View> => {
+    const counts = (await this.safe()) && this.isCounting;
+    return { counts, told: new Map(), same: new Set() };
+  };
+
+  /** What one colleague holds that differs, in pieces; undefined where it stops answering. */
+  private readonly view = async (id: string, sums: readonly string[], unsure: readonly string[], floor?: Ballot): Promise<View | undefined> => {
+    const told = new Map<string, Told>();
+    const same = new Set<number>();
+    let from = 0;
+    for (let piece = 0; piece < PIECES_MOST; piece += 1) {
+      const message: Message = { kind: "read", roster: packRoster(this.copy.roster), sums, unsure, from, ...(floor ? { floor: packBallot(floor) } : {}) };
+      const reply = await this.askOne(id, message, READ_WAIT_US);
+      if (!reply) return undefined;
+      if (reply.kind !== "copy") {
+        this.hearRefusal(reply);
+        return undefined;
+      }
+      list(reply, "entries", readTold).forEach((row) => told.set(row.key, row));
+      list(reply, "same", numberOf).forEach((bucket) => same.add(bucket));
+      if (floor && reply["pending"] !== undefined) this.note(this.copy.takePending({ ...readPending(reply["pending"]), promised: NO_BALLOT }));
+      from = whole(reply, "next");
+      if (from >= sums.length) return { counts: flag(reply, "counts"), told, same };
+    }
+    return undefined;
   };
 
   /**
-   * Makes a quorum hold the registers, or for the keys of which as high a version is held already, what is held: an
-   * equal version changes nothing. After a read of a majority that covers every acknowledged version; only writes made
-   * at the same moment are told apart by their digests.
+   * What a copy does that may have lost something: it asks as many counting ones as share a member with every quorum to
+   * take no try that began before, and holds the highest that any of them holds. From then on it counts.
    */
-  readonly write = async (registers: readonly Register[], epoch?: number): Promise<Result<void, LedgerMishap>> => {
-    const rosterBefore = this.members();
-    this.merge(registers.filter((register) => register.version > (this.get(register.key)?.version ?? -1)));
-    const current = registers.map((register) => this.get(register.key) ?? register);
-    let stale: "epoch" | "roster" | undefined;
-    const gathered = await this.gather(
-      { kind: "store", registers: current.map(packRegister), ...(epoch === undefined ? {} : { epoch }) },
-      (reply) => {
-        if (reply.kind === "refused") stale = "epoch";
-        else if (whole(reply, "roster") > (this.get(ROSTER_KEY)?.version ?? 0)) stale = "roster";
-        return reply.kind === "stored" && flag(reply, "safe") && stale === undefined;
+  private readonly catchUp = async (): Promise<Result<void, LedgerMishap>> => {
+    for (let turn = 1; ; turn += 1) {
+      const refusals = this.refusals;
+      const done = await this.catchUpOnce();
+      // A refusal may only have told whom to ask, and with what number.
+      if (done.isOk || turn >= CATCH_UP_TURNS || this.refusals === refusals) return done;
+    }
+  };
+
+  private readonly catchUpOnce = async (): Promise<Result<void, LedgerMishap>> => {
+    const { log, archive, withstandMachines } = this.options;
+    const before = this.copy.entriesNow();
+    const sums = this.copy.bucketSums();
+    const floor = this.nextBallot();
+    const rosterBefore = this.copy.roster.number;
+    const views = new Map<string, View>();
+    const read = await this.collect<View>({
+      sets: () => (this.copy.roster.number === 0 ? [this.options.seeds()] : this.rosters()),
+      needed: (members) => (this.copy.roster.number === 0 ? Infinity : readQuorumOf(members, withstandMachines)),
+      ask: async (id) => {
+        if (id === this.options.self) return undefined;
+        const view = await this.view(id, sums, [], floor);
+        if (!view?.counts) return undefined;
+        views.set(id, view);
+        return view;
       },
-      async () => (await this.safe()) && this.counting,
-      () => [this.members(), rosterBefore],
-      STORE_WAIT_US,
+    });
+    if (read.isErr) return err(read.error);
+    if (this.copy.roster.number !== rosterBefore) return err({ kind: "stale", what: "roster" });
+    // A copy that is on no roster was one of no quorum that still counts; what it accepted long ago must not come up again.
+    if (!this.isMember()) this.copy.forgetOffers();
+    const keys = new Set([...before.keys(), ...[...views.values()].flatMap(({ told }) => [...told.keys()])]);
+    const left = new Set(this.adopt([...keys], before, views));
+    // What none knows to be agreed is held as it is: this copy may have been among those that accepted it.
+    const held = [...views.values()].flatMap(({ told }) =>
+      [...told.values()].flatMap((row): Entry[] =>
+        left.has(row.key) && row.register !== "same" ? [{ key: row.key, promised: NO_BALLOT, ballot: row.ballot, register: row.register, isVoted: false, isAgreed: false }] : [],
+      ),
     );
-    if (stale) return err({ kind: "stale", what: stale });
-    if (gathered.isErr) return err(gathered.error);
-    this.settle(current);
-    this.options.asker.send({ kind: "settled", items: current.map(({ key, digest }) => ({ key, digest })) });
+    this.note(this.copy.learn(held));
+    this.note(this.copy.raiseFloor(floor));
+    if (!(await this.safe()) || (await archive.keepWhole()).isErr) return err({ kind: "unclear", sentence: "the disk refused what was caught up" });
+    this.note(this.copy.setCounting());
+    if (!(await this.safe())) {
+      this.copy.doubt();
+      return err({ kind: "unclear", sentence: "the disk refused what was caught up" });
+    }
+    log.info(`Caught up with ${keys.size} items, by roster ${this.copy.roster.number}.`);
+    void this.events.emit("counting");
     return ok(undefined);
   };
 
-  /** Hears from a colleague what a quorum holds; what this copy does not hold the same way waits for the sweep. */
-  readonly hearSettled = (message: Message): void => {
-    const same = list(message, "items", asRec).flatMap((item) => {
-      const register = this.get(String(item["key"]));
-      return register !== undefined && register.digest === item["digest"] ? [register] : [];
+  // --- the roster ---------------------------------------------------------------------------------------------------
+
+  /**
+   * Changes who the members are, in two decisions: a joint roster of old and new, and, once the new ones hold all that is
+   * agreed, the new one. One change at a time; one begun by another is finished first. Ok: the wanted one stands.
+   */
+  readonly changeMembers = async (change: (members: readonly string[]) => readonly string[], moveMore: () => Promise<boolean> = async () => true): Promise<Result<void, LedgerMishap>> => {
+    if (this.changing) return err({ kind: "unclear", sentence: "another change of the roster is under way" });
+    this.changing = true;
+    try {
+      const settled = await this.finishRoster(moveMore);
+      if (settled.isErr) return settled;
+      const base = this.copy.roster;
+      const wanted = [...new Set(change(base.members))].sort();
+      if (wanted.join() === [...base.members].sort().join()) return ok(undefined);
+      const joint = await this.decideRoster(base, { number: base.number + 1, from: base.members, members: wanted });
+      if (!joint || joint.members.join() !== wanted.join()) return err({ kind: "stale", what: "roster" });
+      return await this.finishRoster(moveMore);
+    } finally {
+      this.changing = false;
+    }
+  };
+
+  /** Ends a joint roster: everything agreed is brought to a quorum of the new members, then they stand alone. */
+  private readonly finishRoster = async (moveMore: () => Promise<boolean>): Promise<Result<void, LedgerMishap>> => {
+    for (let turn = 0; turn < 4; turn += 1) {
+      const { roster } = this.copy;
+      if (!isJoint(roster)) return ok(undefined);
+      const moved = await this.spread(roster);
+      if (moved.isErr) return moved;
+      if (!(await moveMore())) return err({ kind: "unclear", sentence: "the new members don't hold everything yet" });
+      await this.decideRoster(roster, { number: roster.number + 1, members: roster.members, from: [] });
+    }
+    return isJoint(this.copy.roster) ? err({ kind: "stale", what: "roster" }) : ok(undefined);
+  };
+
+  /** Ok once a quorum of each set holds all that was agreed before the roster became joint. */
+  private readonly spread = async (roster: Roster): Promise<Result<void, LedgerMishap>> => {
+    const { self, withstandMachines } = this.options;
+    const read = await this.readNow();
+    if (read.isErr) return read;
+    const before = this.copy.entriesNow();
+    const keys = [...before.values()].filter(({ ballot }) => ballot.number > 0).map(({ key }) => key);
+    const missing = new Set(keys);
+    const sums = this.copy.bucketSums();
+    const views = new Map<string, View>();
+    const looked = await this.collect<View>({
+      sets: () => setsOf(roster),
+      needed: (members) => quorumOf(members, withstandMachines),
+      graceUs: GRACE_US,
+      ask: async (id) => {
+        const view = id === self ? await this.ownView() : await this.view(id, sums, []);
+        if (!view?.counts) return undefined;
+        views.set(id, view);
+        return view;
+      },
+    });
+    if (looked.isErr) return err(looked.error);
+    const taken = new Map(views);
+    keys.forEach((key) => {
+      const own = before.get(key);
+      if (!own) return;
+      const holds = (id: string): boolean => {
+        const view = taken.get(id);
+        if (!view) return false;
+        if (id === self || view.same.has(bucketOf(key))) return true;
+        const told = view.told.get(key);
+        return told !== undefined && !isHigher(own.ballot, told.ballot);
+      };
+      if (setsOf(roster).every((members) => members.filter(holds).length >= quorumOf(members, withstandMachines))) missing.delete(key);
     });
-    this.settle(same);
+    return this.finish([...missing]);
   };
 
-  readonly epoch = (): number => this.get(GRANT_KEY)?.version ?? 0;
+  /** Decides the roster after `base`: the wanted one, or what is already half decided. */
+  private readonly decideRoster = async (base: Roster, wanted: Roster): Promise<Roster | undefined> => {
+    const { withstandMachines, log } = this.options;
+    const number = base.number + 1;
+    for (let turn = 0; turn < 6 && this.copy.roster.number === base.number; turn += 1) {
+      const ballot = this.nextBallot();
+      const lives = new Map<string, string>();
+      let found: Pending | undefined;
+      const ask = (message: Message, isAsked: (id: string) => boolean, take: (id: string, reply: Message) => void) => {
+        let isOpen = true;
+        return this.collect<Message>({
+          sets: () => setsOf(base),
+          needed: (members) => quorumOf(members, withstandMachines),
+          ask: async (id) => {
+            const reply = isAsked(id) ? await this.askOne(id, message, READ_WAIT_US) : undefined;
+            if (!reply || !isOpen) return undefined;
+            if (reply.kind === "refused") {
+              this.hearRefusal(reply);
+              return undefined;
+            }
+            take(id, reply);
+            return reply;
+          },
+        }).finally(() => {
+          isOpen = false;
+        });
+      };
+      const promised = await ask({ kind: "roster-promise", number, ballot: packBallot(ballot), roster: packRoster(base) }, () => true, (id, reply) => {
+        lives.set(id, text(reply, "life"));
+        const told = readPending(reply["pending"]);
+        if (told.number === number && told.roster && (!found || isHigher(told.ballot, found.ballot))) found = told;
+      });
+      const next: Roster = found?.roster ?? wanted;
+      const accepted = promised.isOk
+        ? await ask({ kind: "roster-accept", number, ballot: packBallot(ballot), roster: packRoster(base), lives: Object.fromEntries(lives), next: packRoster(next) }, (id) => lives.has(id), () => undefined)
+        : promised;
+      if (accepted.isOk) {
+        this.takeRoster(next);
+        log.info(`Roster ${next.number} is ${isJoint(next) ? `joint, to be ${next.members.join(", ")}` : next.members.join(", ")}.`);
+        this.tell([]);
+        return next;
+      }
+      await rest(this.options.clock, Math.round(this.options.random() * PAUSE_US * 2 ** turn));
+    }
+    return this.copy.roster.number > base.number ? this.copy.roster : undefined;
+  };
 
-  /** Asks every member of the rosters; ok as soon as a quorum of each has given an accepted answer. */
-  readonly gather = (
-    message: Message,
-    accepts: (reply: Message) => boolean,
-    own: () => Promise<boolean>,
-    rosters: () => readonly (readonly string[])[],
-    waitUs: number,
-    neededOf: (members: readonly string[], withstandMachines: number) => number = quorumOf,
-  ): Promise<Result<void, LedgerMishap>> => {
-    const { self, asker, withstandMachines } = this.options;
+  private readonly hearRefusal = (reply: Message): void => {
+    this.refusals += 1;
+    this.hearRoster(reply);
+    if (typeof reply["top"] === "number") this.copy.see({ number: reply["top"], by: "" });
+  };
+
+  private readonly hearRoster = (message: Message): void => {
+    if (isRec(message["roster"])) this.takeRoster(readRoster(message["roster"]));
+  };
+
+  private readonly takeRoster = (roster: Roster): void => {
+    if (roster.number <= this.copy.roster.number) return;
+    this.note(this.copy.takeRoster(roster));
+    if (!this.isMember() && this.isCounting) {
+      this.copy.doubt();
+      this.whyNot = "it is not on the roster";
+    }
+    void this.events.emit("roster", roster);
+  };
+
+  // --- asking -------------------------------------------------------------------------------------------------------
+
+  private readonly note = (records: readonly Rec[]): void => {
+    if (records.length > 0) this.unsaved = [...this.unsaved, ...records];
+  };
+
+  private readonly askOne = (id: string, message: Message, waitUs: number): Promise<Message | undefined> => {
+    const { self, asker, clock } = this.options;
+    // Its own disk may stall, and then counts no more than a silent colleague.
+    return id === self ? within(clock, waitUs, this.answer(message), undefined) : asker.ask(id, message, waitUs);
+  };
+
+  /** Asks every member of the sets; ok as soon as enough of each have answered, and the rest too or a grace is over. */
+  private readonly collect = <T>({ sets, needed, ask, graceUs = 0 }: Gathering<T>): Promise<Result<void, { readonly kind: "no-quorum"; readonly held: number; readonly needed: number }>> => {
     const held = new Set<string>();
-    const missing = () =>
-      rosters().find((members) => members.filter((id) => held.has(id)).length < neededOf(members, withstandMachines) || members.length === 0);
+    const asked = new Set<string>();
+    const missing = () => sets().find((members) => members.length === 0 || members.filter((id) => held.has(id)).length < needed(members));
     return new Promise((resolve) => {
-      const asked = new Set<string>();
       let open = 0;
-      const settle = () => {
+      let isWaiting = false;
+      const look = () => {
         const members = missing();
-        if (!members) resolve(ok(undefined));
-        else if (open === 0) resolve(err({ kind: "no-quorum", held: held.size, needed: neededOf(members, withstandMachines) }));
+        if (members) {
+          if (open === 0) resolve(err({ kind: "no-quorum", held: held.size, needed: needed(members) }));
+        } else if (open === 0 || graceUs === 0) resolve(ok(undefined));
+        else if (!isWaiting) {
+          isWaiting = true;
+          this.options.clock.after(graceUs, () => resolve(ok(undefined)));
+        }
       };
-      const askAll = () => {
-        const ids = rosters().flat().filter((id) => !asked.has(id));
-        ids.forEach((id) => {
+      const askAll = () =>
+        new Set(sets().flat()).forEach((id) => {
           if (asked.has(id)) return;
           asked.add(id);
           open += 1;
-          const answered = id === self ? own() : asker.ask(id, message, waitUs).then((reply) => reply !== undefined && accepts(reply));
-          void answered
-            .catch(() => false)
-            .then((accepted) => {
-              if (accepted) held.add(id);
+          void ask(id)
+            .catch(() => undefined)
+            .then((answer) => {
+              if (answer !== undefined) held.add(id);
               open -= 1;
-              if (missing()) askAll();
-              settle();
+              askAll();
+              look();
             });
         });
-      };
       askAll();
-      if (open === 0) settle();
+      if (open === 0) look();
     });
   };
 
-  private readonly settle = (registers: readonly Register[]): void => {
-    const fresh = registers.filter((register) => this.settled.get(register.key) !== register.digest);
-    fresh.forEach((register) => this.settled.set(register.key, register.digest));
-    if (fresh.length > 0) void this.events.emit("settled", fresh);
+  /** Puts a question to every member for other parts of the control state; ok once a quorum of each set has given an accepted answer. */
+  readonly gather = (message: Message, accepts: (reply: Message, id: string) => boolean, own: () => Promise<boolean>, waitUs: number): Promise<Result<void, LedgerMishap>> => {
+    const { self, asker, withstandMachines } = this.options;
+    return this.collect<true>({
+      sets: this.rosters,
+      needed: (members) => quorumOf(members, withstandMachines),
+      ask: async (id) => {
+        if (id === self) return (await own()) ? true : undefined;
+        const reply = await asker.ask(id, message, waitUs);
+        return reply !== undefined && accepts(reply, id) ? true : undefined;
+      },
+    });
   };
 }
+
+const refused = (why: string, top?: number): Message => ({ kind: "refused", why, ...(top === undefined ? {} : { top }) });
+
+const readPackedTerm = (value: unknown): Term => {
+  const rec = asRec(value, "term");
+  return { number: whole(rec, "number"), holder: text(rec, "holder"), life: text(rec, "life") };
+};
+
+const isAbove = (grant: Register | undefined, term: Term): boolean => {
+  const known = readTerm(grant);
+  if (!known) return false;
+  return known.number > term.number || (known.number === term.number && (known.holder !== term.holder || known.life !== term.life));
+};
--- a/src/interlocking/register.ts
+++ b/src/interlocking/register.ts
@@ -1,10 +1,10 @@
 import { createHash } from "node:crypto";
-import { flag, text, whole, asRec } from "../trackbed/shape.js";
+import { asList, asRec, flag, numberOf, text, textOf, whole, type Rec } from "../trackbed/shape.js";
 
 /**
- * A register is one item with a version of its own.
- * Invariant: for a key, the higher (version, digest) always wins, and a register once held is only ever replaced by a
- * higher one. A drop is a register too (a tombstone), so that an older change that comes again has no effect.
+ * A register is one item with a version of its own, as it was agreed.
+ * Invariant: a version names one content for good. `past` keeps what was agreed under earlier numbers, so that an order
+ * that comes again long after newer ones is known; below `pastFrom` this is no longer known.
  */
 export interface Register {
   readonly key: string;
@@ -12,75 +12,67 @@
   readonly dropped: boolean;
   /** The item as the operator wrote it, in JSON; empty for a drop. */
   readonly body: string;
+  /** Of key, version, dropped and body. */
   readonly digest: string;
+  /** Earlier numbers with the digests of their contents, rising. */
+  readonly past: readonly Past[];
+  readonly pastFrom: number;
 }
 
+export type Past = readonly [version: number, digest: string];
+
+/** How many earlier numbers are kept for each item. */
+const PAST_MOST = 256;
+
 export const makeRegister = (key: string, version: number, body: string, dropped = false): Register => ({
   key,
   version,
   dropped,
   body,
   digest: createHash("sha1").update(`${key}\n${version}\n${dropped ? 1 : 0}\n${body}`).digest("base64").slice(0, 16),
+  past: [],
+  pastFrom: 0,
 });
 
 export const readRegister = (value: unknown): Register => {
   const rec = asRec(value, "register");
-  return makeRegister(text(rec, "key"), whole(rec, "version"), text(rec, "body"), flag(rec, "dropped"));
+  const past = rec["past"] === undefined ? [] : asList(rec["past"], "past").map((row): Past => [numberOf(asList(row, "past")[0]), textOf(asList(row, "past")[1])]);
+  const pastFrom = rec["pastFrom"] === undefined ? 0 : whole(rec, "pastFrom");
+  return { ...makeRegister(text(rec, "key"), whole(rec, "version"), text(rec, "body"), flag(rec, "dropped")), past, pastFrom };
 };
 
 /** Registers travel and lie on disk without their digest, which the reader makes anew. */
-export const packRegister = (register: Register) => ({
-  key: register.key,
-  version: register.version,
-  body: register.body,
-  dropped: register.dropped,
+export const packRegister = ({ key, version, body, dropped, past, pastFrom }: Register): Rec => ({
+  key,
+  version,
+  body,
+  dropped,
+  ...(past.length > 0 ? { past } : {}),
+  ...(pastFrom > 0 ? { pastFrom } : {}),
 });
 
-export const outranks = (one: Register, other: Register | undefined): boolean =>
-  other === undefined || one.version > other.version || (one.version === other.version && one.digest > other.digest);
-
-const BUCKETS = 32;
-
-const bucketOf = (key: string): number => {
-  let sum = 7;
-  for (let at = 0; at < key.length; at += 1) sum = (sum * 31 + key.charCodeAt(at)) % 1_000_003;
-  return sum % BUCKETS;
+const withPast = (register: Register, past: readonly Past[], pastFrom: number): Register => {
+  const rising = [...past].sort(([a], [b]) => a - b);
+  const kept = rising.slice(-PAST_MOST);
+  return { ...register, past: kept, pastFrom: kept.length < rising.length ? (kept[0]?.[0] ?? pastFrom) : pastFrom };
 };
 
-/** The merged state of one signalbox, with digests by bucket so that two copies find what differs cheaply. */
-export class Registers {
-  private readonly held = new Map<string, Register>();
-  /** Invariant: each number is the exclusive-or of the digests of the registers in that bucket. */
-  private readonly sums: number[] = new Array<number>(BUCKETS).fill(0);
+/** What an order comes to, given what stands. */
+export type Applied =
+  /** It is taken: `next` is to be agreed. An order overtaken by a newer one changes only `past`. */
+  | { readonly kind: "fits"; readonly next: Register }
+  /** The same order was taken before. */
+  | { readonly kind: "known" }
+  /** Another content has this number. */
+  | { readonly kind: "conflict" }
+  /** So old that what its number named is no longer known. */
+  | { readonly kind: "forgotten" };
 
-  readonly get = (key: string): Register | undefined => this.held.get(key);
-
-  readonly all = (): readonly Register[] => [...this.held.values()];
-
-  /** Merges upward; returns what really changed. */
-  readonly merge = (registers: readonly Register[]): readonly Register[] => {
-    const changed = registers.filter((register) => {
-      const before = this.held.get(register.key);
-      if (!outranks(register, before)) return false;
-      if (before) this.toggle(before);
-      this.held.set(register.key, register);
-      this.toggle(register);
-      return true;
-    });
-    return changed;
-  };
-
-  readonly digest = (): string => this.sums.map((sum) => sum.toString(36)).join(".");
-
-  readonly inBucketsThatDiffer = (otherDigest: string): readonly Register[] => {
-    const theirs = otherDigest.split(".");
-    const differs = this.sums.map((sum, at) => sum.toString(36) !== theirs[at]);
-    return this.all().filter((register) => differs[bucketOf(register.key)]);
-  };
-
-  private readonly toggle = (register: Register): void => {
-    const at = bucketOf(register.key);
-    const sum = Buffer.from(register.digest, "base64").readUInt32BE(0);
-    this.sums[at] = ((this.sums[at] ?? 0) ^ sum) >>> 0;
-  };
-}
+export const applyOrder = (now: Register | undefined, order: Register): Applied => {
+  if (!now) return { kind: "fits", next: order };
+  const agreed = order.version === now.version ? now.digest : now.past.find(([version]) => version === order.version)?.[1];
+  if (agreed !== undefined) return { kind: agreed === order.digest ? "known" : "conflict" };
+  if (order.version < now.pastFrom) return { kind: "forgotten" };
+  if (order.version < now.version) return { kind: "fits", next: withPast(now, [...now.past, [order.version, order.digest]], now.pastFrom) };
+  return { kind: "fits", next: withPast(order, [...now.past, [now.version, now.digest]], now.pastFrom) };
+};
--- a/src/programs/control.ts
+++ b/src/programs/control.ts
@@ -13,10 +13,21 @@
 
 const ofPlan = (mishap: PlanMishap): CallMishap => ({ outcome: mishap.kind === "unreadable" ? "unreadable" : "wrong", sentence: mishap.sentence });
 
-const ofLedger = (mishap: LedgerMishap): CallMishap => ({
-  outcome: "noQuorum",
-  sentence: mishap.kind === "no-quorum" ? `only ${mishap.held} of ${mishap.needed} copies hold it` : `the ${mishap.what} is stale`,
-});
+/** Only what can never be in force is refused; all else has no clear answer. */
+const ofLedger = (mishap: LedgerMishap): CallMishap => {
+  switch (mishap.kind) {
+    case "conflict":
+      return { outcome: "versionTaken", sentence: `${mishap.key.replace("/", " ")} at version ${mishap.version} is already agreed with another content` };
+    case "invalid":
+      return { outcome: "wrong", sentence: mishap.sentence };
+    case "no-quorum":
+      return { outcome: "noQuorum", sentence: `only ${mishap.held} of ${mishap.needed} copies answered well` };
+    case "stale":
+      return { outcome: "noQuorum", sentence: `the ${mishap.what} is stale` };
+    case "unclear":
+      return { outcome: "noQuorum", sentence: mishap.sentence };
+  }
+};
 
 const verdictOf = (result: Result<Rec, CallMishap>): Verdict =>
   result.isOk ? { outcome: "taken", body: result.value } : { outcome: result.error.outcome, body: { problem: result.error.sentence } };
@@ -42,16 +53,19 @@
 export interface ControlOptions {
   readonly ledger: Ledger;
   readonly registry: Registry;
+  /** Whether this signalbox believes itself cut off: reason enough to refuse at once, while the contrary proves nothing. */
   readonly isAdrift: () => boolean;
-  /** Tells the colleagues of beats; resolves to true once a majority holds them. */
+  /** True once a majority was heard after the call. */
+  readonly hearMajority: () => Promise<boolean>;
+  /** Tells the colleagues of beats; true once a majority was heard after the call, or, where it `waits`, once a quorum holds them too. */
   readonly share: (beats: readonly Beat[], waits: boolean) => Promise<boolean>;
-  /** Where a worker of this cell should send its later beats, if not here. */
-  readonly reportTo: (cell: string) => string | undefined;
+  /** Where a worker of this cell should send its later beats, if not here: a signalbox that hears a majority too. */
+  readonly reportTo: (cell: string) => Promise<string | undefined>;
   /** Makes a purge durable and sends it out; left out where objects are not kept. */
   readonly purge?: (what: { readonly host: string; readonly path: string; readonly label: string }) => Promise<boolean>;
 }
 
-/** What changes something. */
+/** What changes something. Nothing is acknowledged without a majority heard after the call came. */
 export class Commands {
   constructor(private readonly options: ControlOptions) {}
 
@@ -73,52 +87,54 @@
     if (isAdrift()) return { outcome: "adrift" };
     registry.take(beat);
     const held = registry.get(beat.id) ?? beat;
-    const shared = await share([held], beat.state !== "ready");
-    if (!shared) return { outcome: "noQuorum" };
-    const address = reportTo(beat.cell);
+    const [isShared, address] = await Promise.all([share([held], beat.state !== "ready"), reportTo(beat.cell)]);
+    if (!isShared) return { outcome: "noQuorum" };
     return { outcome: "taken", body: address === undefined ? {} : { reportTo: address } };
   };
 
   readonly leave = async (call: Call): Promise<Verdict> => {
-    const { registry, isAdrift, share } = this.options;
+    const { registry, isAdrift, hearMajority, share } = this.options;
     if (isAdrift()) return { outcome: "adrift" };
     const left = registry.leave(call.segments[1] ?? "");
-    if (!left) return { outcome: "taken" };
-    return (await share([left], true)) ? { outcome: "taken" } : { outcome: "noQuorum" };
+    return (await (left ? share([left], true) : hearMajority())) ? { outcome: "taken" } : { outcome: "noQuorum" };
   };
 
   readonly purge = async (call: Call): Promise<Verdict> => {
-    const { purge } = this.options;
+    const { purge, hearMajority } = this.options;
     const read = readPurge(call.body);
     if (read.isErr) return { outcome: "wrong", body: { problem: read.error } };
     if (!purge) return { outcome: "unknownCall" };
-    return { outcome: (await purge(read.value)) ? "taken" : "noQuorum" };
+    const [isHeld, isHeard] = await Promise.all([purge(read.value), hearMajority()]);
+    return { outcome: isHeld && isHeard ? "taken" : "noQuorum" };
   };
 
   private readonly write = async (call: readonly Register[]): Promise<Result<Rec, CallMishap>> => {
-    const { ledger } = this.options;
-    const read = await ledger.read();
-    if (read.isErr) return read.mapErr(ofLedger).map(() => ({}));
-    const unknown = unknownService(call, ledger.get);
-    if (unknown !== undefined) return err({ outcome: "wrong", sentence: `a route names the unknown service ${unknown}` });
-    const written = await ledger.write(call);
+    const written = await this.options.ledger.offer(call, (get) => {
+      const unknown = unknownService(call, get);
+      return unknown === undefined ? undefined : `a route names the unknown service ${unknown}`;
+    });
     return written.mapErr(ofLedger).map(() => ({}));
   };
 }
 
-/** What only tells something. */
+type Tellers = Readonly<Record<string, () => unknown>>;
+
+/** What only tells something: of the fleet with a majority heard after the call came, of this copy at any time. */
 export class Queries {
-  constructor(private readonly ledger: Ledger, private readonly tellers: Readonly<Record<string, () => unknown>>) {}
+  constructor(private readonly ledger: Ledger, private readonly ofFleet: Tellers, private readonly ofThisCopy: Tellers) {}
 
   readonly readPlan = async (): Promise<Verdict> => {
-    const mended = await this.ledger.readAndMend();
-    const plan = mended.mapErr(ofLedger).map(() => layOut(this.ledger.all().filter((register) => isPlanKey(register.key))));
+    const read = await this.ledger.read();
+    const plan = read.mapErr(ofLedger).map(() => layOut(this.ledger.all().filter((register) => isPlanKey(register.key))));
     return verdictOf(plan);
   };
 
   readonly tell = async (call: Call): Promise<Verdict> => {
-    const teller = this.tellers[call.segments[1] ?? ""];
-    return teller ? { outcome: "taken", body: { [call.segments[1] ?? ""]: await teller() } } : { outcome: "unknownCall" };
+    const what = call.segments[1] ?? "";
+    const teller = this.ofThisCopy[what] ?? this.ofFleet[what];
+    if (!teller) return { outcome: "unknownCall" };
+    if (this.ofThisCopy[what] === undefined && !(await this.ledger.contact())) return { outcome: "noMajority" };
+    return { outcome: "taken", body: { [what]: await teller() } };
   };
 }
 
--- a/src/programs/depot.ts
+++ b/src/programs/depot.ts
@@ -103,6 +103,7 @@
   });
   log.info(`Up at ${settings.ip}:${settings.relayPort}.`);
   return {
+    renew: ({ seedNodes }) => taker.renewSeeds(seedNodes),
     stop: async () => {
       log.info("Leaving.");
       report.stop();
--- a/src/programs/pointsman.ts
+++ b/src/programs/pointsman.ts
@@ -136,6 +136,7 @@
   log.info(`Up at ${settings.front}.`);
 
   return {
+    renew: ({ seedNodes }) => taker.renewSeeds(seedNodes),
     stop: async () => {
       const endUs = clock.nowUs() + settings.graceUs - END_MARGIN_US;
       log.info("Leaving.");
--- a/src/programs/running.ts
+++ b/src/programs/running.ts
@@ -1,4 +1,8 @@
+import type { Settings } from "../trackbed/settings.js";
+
 /** A program that runs on one machine, as long as it is not told to end in order. */
 export interface Running {
   readonly stop: () => Promise<void>;
+  /** Takes what a settings file that was read again says of other machines: the seeds. */
+  readonly renew: (settings: Settings) => void;
 }
--- a/src/programs/signalbox-content.ts
+++ b/src/programs/signalbox-content.ts
@@ -32,6 +32,8 @@
   readonly answerColleague: (message: Message) => Promise<Message | undefined>;
   /** Hears what nodes report. */
   readonly hear: (message: Message) => void;
+  /** Brings what the old members hold to the new ones; true once it is done. */
+  readonly spread: () => Promise<boolean>;
   readonly purge: (what: { readonly host: string; readonly path: string; readonly label: string }) => Promise<boolean>;
   readonly tellers: Readonly<Record<string, () => unknown>>;
 }
@@ -61,8 +63,9 @@
   const office = new RateOffice(clock);
   const depots = new Map<string, Rec>();
 
-  const giveHere = (message: Message): Message =>
-    duty.isHolder() && duty.hasMajority()
+  /** Only by a holder that a majority has just heard of: one that was cut off or frozen may have a successor. */
+  const giveHere = async (message: Message): Promise<Message> =>
+    (await duty.confirm())
       ? { kind: "rate", share: office.give(text(message, "life"), text(message, "who"), whole(message, "held")), lastsUs: GRANT_LASTS_US }
       : { kind: "rate" };
   const giveRate = async (message: Message): Promise<Message> =>
@@ -111,6 +114,7 @@
       if (message.kind === "key-free") keys.free(text(message, "key"), text(message, "token"));
       if (message.kind === "goods") depots.set(text(message, "node"), { ...message });
     },
+    spread: keys.spread,
     purge: keys.purge,
     tellers: {
       keys: () => ({ keys: book.size, bytes: book.heldBytes, purges: book.purges().length, counting: keys.isCounting }),
--- a/src/programs/signalbox-retries.ts
+++ b/src/programs/signalbox-retries.ts
@@ -41,7 +41,10 @@
   };
   const office = new RetryOffice({ clock, windowUs: ceiling.windowUs, isHolder: () => duty.isHolder() && duty.hasMajority(), limits });
 
+  /** Only by a holder that a majority has just heard of: one that was cut off or frozen may have a successor. */
+  const answer = async (message: Message): Promise<Message> => ((await duty.confirm()) ? office.answer(message) : { kind: "retries" });
   const setHere = async (order: Rec): Promise<Verdict> => {
+    if (!(await duty.confirm())) return { outcome: "noQuorum" };
     const service = text(order, "service");
     if (service !== EVERY_SERVICE && !isService(service)) return { outcome: "wrong", body: { problem: `there is no service ${service}` } };
     const changed = withLimit(limits(), ceiling, service, text(order, "kind"), { ratio: order["ratio"], slack: order["slack"] });
@@ -81,9 +84,9 @@
 
   return {
     look: office.look,
-    answerNode: async (message) => (duty.isHolder() ? office.answer(message) : ((await colleagues.ask(duty.holder(), message, STORE_WAIT_US)) ?? { kind: "retries" })),
+    answerNode: async (message) => (duty.isHolder() ? answer(message) : ((await colleagues.ask(duty.holder(), message, STORE_WAIT_US)) ?? { kind: "retries" })),
     answerColleague: async (message) => {
-      if (message.kind === "retry-ask") return office.answer(message);
+      if (message.kind === "retry-ask") return answer(message);
       const verdict = await setHere(asRec(message["order"], "order"));
       return { kind: "done", outcome: verdict.outcome, body: verdict.body ?? {} };
     },
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -2,9 +2,12 @@
 import { join } from "node:path";
 import { Archive } from "../interlocking/archive.js";
 import { isPlanKey, serviceKey } from "../interlocking/check.js";
+import { Copy } from "../interlocking/copy.js";
+import { FileDisk } from "../interlocking/disk.js";
 import { Duty } from "../interlocking/duty.js";
-import { Ledger, membersOf, quorumOf, ROSTER_KEY, STORE_WAIT_US } from "../interlocking/ledger.js";
-import { makeRegister, Registers, type Register } from "../interlocking/register.js";
+import { Ledger, LEDGER_KINDS, STORE_WAIT_US } from "../interlocking/ledger.js";
+import type { Register } from "../interlocking/register.js";
+import { everyoneOf, quorumOf } from "../interlocking/roster.js";
 import { Forecaster, FORECAST_TERMS, readVerdicts } from "../inspection/forecast.js";
 import { Inspector, NO_DECISIONS, readDecisions, type Decisions } from "../inspection/inspector.js";
 import { TRIAL_TERMS } from "../inspection/evidence.js";
@@ -18,11 +21,11 @@
 import { readSharedBeat, Registry, type Beat } from "../signalling/registry.js";
 import { Sessions } from "../signalling/sessions.js";
 import { Switchboard } from "../signalling/switchboard.js";
-import { oncePer, type Clock, type Pulse } from "../trackbed/clock.js";
+import { oncePer, onceForAll, type Clock, type Pulse } from "../trackbed/clock.js";
 import { logFor } from "../trackbed/log.js";
 import type { OutcomeName } from "../trackbed/outcomes.js";
 import type { Settings } from "../trackbed/settings.js";
-import { flag, list, parseJson, text, asRec, whole } from "../trackbed/shape.js";
+import { flag, list, parseJson, text, asRec, whole, type Rec } from "../trackbed/shape.js";
 import { MS, SECOND } from "../trackbed/span.js";
 import type { Message, Wire } from "../trackbed/wire.js";
 import { TIMES } from "./member.js";
@@ -36,6 +39,12 @@
 const SWEEP_US = 1 * SECOND;
 const GATHER_JOINS_US = 60 * MS;
 const REMEMBER_US = 500 * MS;
+/** Beats that come within this time of each other share a round of contact, which gathers a little itself. */
+const GATHER_BEATS_US = 60 * MS;
+/** A signalbox that no majority has answered for so long feeds nobody, also where its links seem to stand. */
+const UNPROVEN_US = 3 * SECOND;
+/** A first feed is no older than this: where the last reading is, another comes first. */
+const FEED_AGE_US = 2 * SECOND;
 const EJECTIONS_REGISTER = "duty/ejections";
 const ROLLOUTS_REGISTER = "duty/rollouts";
 const FORECAST_REGISTER = "duty/forecast";
@@ -50,7 +59,6 @@
 };
 /** What is learned so soon after a start may have been so for any time. */
 const YOUNG_US = 10 * SECOND;
-const EPOCH_ROOM = 1_000_000;
 const ROUTE_PREFIX = "route/";
 
 const CLEAR_OUTCOMES: Readonly<Record<ClearMishap, OutcomeName>> = {
@@ -75,19 +83,22 @@
   const registry = new Registry(clock, board, settings.heartbeatUs);
   const feeder = new Feeder(clock, board, registry.isComplete);
   const colleagues = new Colleagues({ self, cell: settings.cell, signalPort: settings.signalPort, clock, times: TIMES });
-  const registers = new Registers();
-  const archive = new Archive(settings.dataFolder, registers.all);
+  const disk = new FileDisk();
+  const copy = new Copy();
+  const archive = new Archive({ folder: settings.dataFolder, disk, snapshot: copy.snapshot });
   const ledger = new Ledger({
     self,
-    registers,
     archive,
-    seeds: settings.seedNodes,
+    copy,
+    // At the first start nobody else is known; later the seeds may all be gone.
+    seeds: () => [...new Set([...settings.seedNodes, ...colleagues.known()])],
     asker: colleagues,
     clock,
+    random: Math.random,
     withstandMachines: settings.withstandMachines,
     log: logFor("ledger"),
   });
-  const duty = new Duty({
+  const duty: Duty = new Duty({
     self,
     ledger,
     clock,
@@ -97,36 +108,56 @@
     hasDisk: archive.hasDisk,
     withstandMachines: settings.withstandMachines,
     patienceUs: 1_500 * MS,
+    leaveUs: Math.max(SECOND, settings.graceUs - SECOND),
+    moveMore: async () => (await content?.spread()) ?? true,
   });
 
   /** The workers last known, so that after a loss of every process they need not all be heard again first. */
-  const memory = new Archive(settings.dataFolder === "" ? "" : join(settings.dataFolder, "workers"), () =>
-    registry.all().filter((beat) => beat.state === "ready").map((beat) => makeRegister(WORKER_PREFIX + beat.id, beat.callCount, JSON.stringify(beat))),
-  );
+  const memory = new Archive({
+    folder: settings.dataFolder === "" ? "" : join(settings.dataFolder, "workers"),
+    disk,
+    snapshot: () => registry.all().filter((beat) => beat.state === "ready").map((beat): Rec => ({ ...beat })),
+  });
   const remember = async (): Promise<void> => {
-    const known = (await memory.load()) ?? [];
-    registry.recall(known.map((register) => readSharedBeat(parseJson(register.body))));
+    const found = await memory.load();
+    if (found.kind !== "empty") registry.recall(found.records.map(readSharedBeat));
   };
 
   let remembering: Pulse | undefined;
   const rememberSoon = (): void => {
     remembering ??= clock.after(REMEMBER_US, () => {
       remembering = undefined;
-      void memory.keep();
+      void memory.keepWhole();
     });
   };
 
   const isAdrift = (): boolean => !duty.hasMajority();
-  /** Invariant: true once a majority has been read in this life, so that what is fed is never a part of the plan. */
-  let hasMended = false;
-  const isFit = () => hasMended && !isAdrift();
+  /** When the last round began that a majority answered, and the last reading of a quorum; the latter is undefined until one was made in this life. */
+  let provenUs = clock.nowUs();
+  let readUs: number | undefined;
+  /** Whether beats couldn't come in since; then their lack says nothing. */
+  let wasCutOff = false;
+  const prove = (beganUs: number): void => {
+    if (wasCutOff) registry.listenAnew();
+    wasCutOff = false;
+    provenUs = Math.max(provenUs, beganUs);
+  };
+  const hearMajority = onceForAll(clock, GATHER_BEATS_US, ledger.contact);
+  /** What is fed first is no part of the plan and not old, and a majority was heard after the node came. */
+  const isFit = async (): Promise<boolean> => {
+    if (readUs === undefined || isAdrift()) return false;
+    return clock.nowUs() - readUs < FEED_AGE_US ? ledger.contact() : sweep();
+  };
   const sessions = new Sessions({ clock, feeder, log: logFor("sessions"), isFit, boxes: colleagues.boxes, cell: settings.cell, emptiedCell: () => emptiedCell(), answer: (message, node) => answerNode(message, node) });
 
-  /** Makes what the duty's holder decided durable under its epoch. */
+  /** Makes what the duty's holder decided, on the state as held here, durable under its term; false if that state or the term has been overtaken. */
   const publish = async (key: string, wanted: unknown): Promise<boolean> => {
-    const epoch = duty.epoch();
-    const version = Math.max((ledger.get(key)?.version ?? 0) + 1, epoch * EPOCH_ROOM);
-    return (await ledger.write([makeRegister(key, version, JSON.stringify(wanted))], epoch)).isOk;
+    const term = duty.heldTerm();
+    if (!term) return false;
+    const before = ledger.get(key)?.digest;
+    const body = JSON.stringify(wanted);
+    const decided = await ledger.decide(key, (now) => (now?.digest === before ? body : undefined), term);
+    return decided.isOk && decided.value?.body === body;
   };
   const published = <T>(key: string, read: (value: unknown) => T, none: T): T => {
     const register = ledger.get(key);
@@ -138,7 +169,7 @@
     log: logFor("inspection"),
     terms: TERMS,
     isHolder: duty.isHolder,
-    epoch: duty.epoch,
+    term: duty.term,
     workers: () =>
       registry.all().filter((beat) => beat.state !== "gone").map((beat) => ({ id: beat.id, service: beat.service, cell: beat.cell, missing: beat.state === "missing" })),
     decisions,
@@ -152,7 +183,7 @@
     terms: { ...TRIAL_TERMS, weights: settings.rolloutWeights },
     random: Math.random,
     isHolder: duty.isHolder,
-    epoch: duty.epoch,
+    term: duty.term,
     splitRoutes: splitRoutes.all,
     previousMain: splitRoutes.mainBefore,
     state: rolloutState,
@@ -198,8 +229,8 @@
     workers: () => registry.all().map(({ cell, service, capacity, state }) => ({ cell, service, capacity, isReady: state === "ready" })),
     longestBudgetUs: splitRoutes.longestGiveUpUs,
     isBorne: (cell) => {
-      const members = ledger.members();
-      return members.filter((id) => colleagues.stands(id) && colleagues.cellOf(id) !== cell).length >= quorumOf(members, settings.withstandMachines);
+      const stands = (id: string) => colleagues.stands(id) && colleagues.cellOf(id) !== cell;
+      return ledger.rosters().every((members) => members.filter(stands).length >= quorumOf(members, settings.withstandMachines));
     },
     inFlight: forecaster.inFlight,
     leaveDuty: async (cell) => {
@@ -212,6 +243,7 @@
     return { outcome, body: { problem: WINDOW_SENTENCES[mishap] } };
   };
   const windowHere = async (order: WindowCall): Promise<Verdict> => {
+    if (!(await duty.confirm())) return windowMishap("noQuorum");
     if (order.what !== "add") {
       const mishap = await (order.what === "cancel" ? windows.cancel(order.id) : windows.extend(order.id, order.byUs));
       return mishap === undefined ? { outcome: "taken" } : windowMishap(mishap);
@@ -235,11 +267,19 @@
     const message: Message = { kind: "beats", beats };
     if (!waits) {
       colleagues.send(message);
-      return true;
+      return hearMajority();
     }
     colleagues.known().filter((id) => !ledger.members().includes(id)).forEach((id) => void colleagues.ask(id, message, STORE_WAIT_US));
-    const held = await ledger.gather(message, (reply) => reply.kind === "took", async () => true, () => [ledger.members()], STORE_WAIT_US);
-    return held.isOk;
+    const [held, isHeard] = await Promise.all([ledger.gather(message, (reply) => reply.kind === "took", async () => true, STORE_WAIT_US), ledger.contact()]);
+    return held.isOk && isHeard;
+  };
+
+  /** The signalbox of the cell, if it hears a majority by its own word, asked for now. */
+  const reportTo = async (cell: string): Promise<string | undefined> => {
+    const box = colleagues.boxes().find((candidate) => candidate.cell === cell);
+    if (box === undefined || box.id === self || settings.cell === cell) return undefined;
+    const reply = await colleagues.ask(box.id, { kind: "hear-majority" }, STORE_WAIT_US);
+    return reply !== undefined && flag(reply, "yes") ? box.id : undefined;
   };
 
   const takeBeats = (message: Message): void => {
@@ -277,7 +317,7 @@
   const tellCrew = oncePer(clock, GATHER_JOINS_US, () => feeder.setCrew(sessions.crew()));
   const tellSessions = oncePer(clock, GATHER_JOINS_US, () => colleagues.send(sessions.pack()));
 
-  const shiftHere = (cell: string, why: string): Promise<boolean> => (why === "practice" ? inspector.practise(cell) : inspector.shiftByHand(cell));
+  const shiftHere = async (cell: string, why: string): Promise<boolean> => (await duty.confirm()) && (why === "practice" ? inspector.practise(cell) : inspector.shiftByHand(cell));
   const shift = async (cell: string, why: string): Promise<boolean> => {
     if (duty.isHolder()) return shiftHere(cell, why);
     const reply = await colleagues.ask(duty.holder(), { kind: "shift", cell, why }, STORE_WAIT_US);
@@ -285,6 +325,7 @@
   };
 
   const clearHere = async (route: string, version: number | undefined): Promise<OutcomeName> => {
+    if (!(await duty.confirm())) return "noQuorum";
     const mishap = await rollouts.clear(route, version);
     return mishap === undefined ? "taken" : CLEAR_OUTCOMES[mishap];
   };
@@ -295,10 +336,43 @@
     return outcome ?? "noQuorum";
   };
   const tellers: Readonly<Record<string, () => unknown>> = { inspection: inspector.explain, rollouts: rollouts.explain, forecast: forecaster.explain, windows: windows.explain };
+  const tellHere = async (what: string): Promise<unknown> => ((await duty.confirm()) ? tellers[what]?.() : undefined);
   /** What only the holder knows is asked of the holder. */
-  const tellOfHolder = async (what: string): Promise<unknown> => {
-    if (duty.isHolder()) return tellers[what]?.();
-    return (await colleagues.ask(duty.holder(), { kind: "tell", what }, STORE_WAIT_US))?.["told"] ?? tellers[what]?.();
+  const tellOfHolder = async (what: string): Promise<unknown> =>
+    (await tellHere(what)) ?? (await colleagues.ask(duty.holder(), { kind: "tell", what }, STORE_WAIT_US))?.["told"] ?? tellers[what]?.();
+
+  /** What this copy knows by itself, told also while it is cut off; nothing of it speaks for the fleet. */
+  const thisCopy = (): Rec => {
+    const { number, members, from } = ledger.roster();
+    const term = ledger.term();
+    return {
+      view: "this copy's own",
+      box: self,
+      counting: ledger.isCounting,
+      why: ledger.doubt,
+      majorityInReach: duty.hasMajority(),
+      unansweredMs: Math.round((clock.nowUs() - provenUs) / MS),
+      roster: number,
+      members,
+      leaving: from.filter((id) => !members.includes(id)),
+      isJoint: from.length > 0,
+      term: term?.number ?? 0,
+      holder: term?.holder ?? "",
+    };
+  };
+  /** The roster, the term, and every box with why it doesn't count; who doesn't answer is named as unseen. */
+  const tellDuty = async (): Promise<Rec> => {
+    const boxes = [...new Set([self, ...ledger.members(), ...colleagues.known()])].sort();
+    const rows = await Promise.all(
+      boxes.map(async (box): Promise<Rec> => {
+        const told = box === self ? thisCopy() : await colleagues.ask(box, { kind: "tell-copy" }, STORE_WAIT_US);
+        const isMember = ledger.members().includes(box);
+        if (!told) return { box, isMember, seen: false, counting: false, why: "it does not answer" };
+        return { box, isMember, seen: true, counting: told["counting"], why: told["why"], roster: told["roster"], term: told["term"], majorityInReach: told["majorityInReach"] };
+      }),
+    );
+    const { number, members, from } = ledger.roster();
+    return { holder: duty.holder(), term: duty.term(), here: duty.isHolder(), roster: { number, is: from.length > 0 ? "joint" : "simple", members, from }, boxes: rows };
   };
 
   /** Who takes what nodes report, at the duty's holder; the others pass it on. */
@@ -310,11 +384,9 @@
 
   /** What a colleague's connection brings; what it asks is answered on the same connection. */
   const answerColleague = async (message: Message): Promise<Message | undefined> => {
+    if (LEDGER_KINDS.has(message.kind)) return ledger.answer(message);
     switch (message.kind) {
-      case "read":
-      case "store":
-        return ledger.answer(message);
-      case "vote":
+      case "unseen":
       case "join":
       case "leave":
       case "succeed":
@@ -338,7 +410,11 @@
       case "ask-nodes":
         return nodeAnswers.answerColleague(message);
       case "tell":
-        return { kind: "done", told: tellers[text(message, "what")]?.() };
+        return { kind: "done", told: await tellHere(text(message, "what")) };
+      case "hear-majority":
+        return { kind: "done", yes: await hearMajority() };
+      case "tell-copy":
+        return { kind: "done", ...thisCopy() };
       case "beats":
         takeBeats(message);
         return { kind: "took" };
@@ -349,10 +425,15 @@
         return content?.answerColleague(message);
     }
   };
+  /** The newest connection that each colleague has dialled. */
+  const inbound = new Map<string, Wire>();
   const serveColleague = async (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
     const from = text(hello, "from");
     wire.send({ ...colleagues.hello(), kind: "welcome" });
     colleagues.meet(hello);
+    inbound.set(from, wire);
+    // A colleague that dials anew may have forgotten the sessions here while its link was down.
+    tellSessions();
     for await (const message of incoming) {
       if (message.kind === "sessions") sessions.hear(from, message);
       else
@@ -362,6 +443,9 @@
           })
           .catch((mishap: unknown) => log.warn(`A colleague's message failed: ${String(mishap)}.`));
     }
+    if (inbound.get(from) !== wire) return;
+    inbound.delete(from);
+    if (!colleagues.stands(from)) sessions.forget(from);
   };
   const switchboard = new Switchboard(clock, TIMES, { colleague: serveColleague, pointsman: sessions.serve }, logFor("switchboard"));
 
@@ -378,9 +462,9 @@
     settled
       .filter((register) => register.key.startsWith(ROUTE_PREFIX))
       .forEach((register) => splitRoutes.take(register.key.slice(ROUTE_PREFIX.length), register.version, register.body));
-    const roster = settled.find((register) => register.key === ROSTER_KEY);
-    if (roster) colleagues.learn(membersOf(roster));
   });
+  ledger.events.on("roster", (roster) => colleagues.learn(everyoneOf(roster)));
+  ledger.events.on("behind", () => void sweep());
   sessions.events.on("own", () => {
     tellSessions();
     tellCrew();
@@ -406,17 +490,21 @@
     if (isAdrift()) sessions.dismiss();
   });
 
-  let sweeping = false;
-  const sweep = async (): Promise<void> => {
-    if (sweeping) return;
-    sweeping = true;
-    const mended = await ledger.readAndMend();
-    if (mended.isOk && ledger.isCounting) hasMended = true;
-    sweeping = false;
+  /** Reads a quorum; where that fails, as it may while others write, asks at least whether a majority is there. True after a reading. */
+  const sweep = async (): Promise<boolean> => {
+    const beganUs = clock.nowUs();
+    const read = await ledger.read();
+    const isRead = read.isOk && ledger.isCounting;
+    if (isRead) readUs = beganUs;
+    if (isRead || (await ledger.contact())) prove(beganUs);
+    return isRead;
   };
   let wasComplete = false;
   const round = (): void => {
-    registry.sweep();
+    if (isAdrift() || clock.nowUs() - provenUs > UNPROVEN_US) {
+      wasCutOff = true;
+      sessions.dismiss();
+    } else registry.sweep();
     retries.look();
     if (!wasComplete && registry.isComplete()) feeder.sendWhole();
     wasComplete = registry.isComplete();
@@ -436,26 +524,26 @@
     registry,
     isAdrift,
     share,
-    reportTo: (cell) => {
-      const box = colleagues.boxes().find((candidate) => candidate.cell === cell);
-      return box === undefined || box.id === self || settings.cell === cell ? undefined : box.id;
-    },
+    hearMajority,
+    reportTo,
     ...(content ? { purge: content.purge } : {}),
   });
-  const queries = new Queries(ledger, {
+  const ofFleet = {
     nodes: sessions.nodes,
     workers: registry.all,
-    duty: () => ({ holder: duty.holder(), epoch: duty.epoch(), here: duty.isHolder(), roster: ledger.members(), counting: ledger.isCounting }),
+    duty: tellDuty,
     inspection: () => tellOfHolder("inspection"),
     rollouts: () => tellOfHolder("rollouts"),
     forecast: () => tellOfHolder("forecast"),
     windows: () => tellOfHolder("windows"),
     retries: retries.show,
     ...(content?.tellers ?? {}),
-  });
-  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout, window, setRetries: retries.set, forecastBackends: backends.forecast, seenBackends: backends.seen }));
+  };
+  const queries = new Queries(ledger, ofFleet, { copy: thisCopy });
+  const withMajority = (act: (order: Rec) => Promise<Verdict>) => async (order: Rec): Promise<Verdict> => ((await ledger.contact()) ? act(order) : { outcome: "noMajority" });
+  const server = await serveCalls(settings.control, controlEntries(commands, queries, { shift, clearRollout, window, setRetries: retries.set, forecastBackends: withMajority(backends.forecast), seenBackends: withMajority(backends.seen) }));
   const early = clock.every(100 * MS, () => {
-    if (hasMended) early.stop();
+    if (readUs !== undefined) early.stop();
     else void sweep();
   });
   const pulse = clock.every(SWEEP_US, round);
@@ -467,6 +555,7 @@
   log.info(`Up at ${self}.`);
 
   return {
+    renew: ({ seedNodes }) => colleagues.learn(seedNodes),
     stop: async () => {
       log.info("Leaving.");
       inspector.stop();
--- a/src/programs/stationmaster.ts
+++ b/src/programs/stationmaster.ts
@@ -112,12 +112,41 @@
 const QUERIES: Readonly<Record<string, string>> = {
   nodes: "the pointsmen with a session",
   workers: "the workers, as their beats tell them",
-  duty: "who holds the duty, its epoch, and the roster",
   inspection: "faults by worker, ejections and the shift, with what led to them",
   keys: "operation keys and purges held, and whether this copy counts",
   goods: "what each depot holds, hit, missed, checked and refused",
 };
 
+const REACHED_NOBODY = 3;
+
+/** The duty, the roster and the term, and below them every signalbox with why it doesn't count. */
+const dutyText = (told: Rec): string => {
+  const { holder, term, roster, boxes } = isRec(told["duty"]) ? told["duty"] : told;
+  const { number, is, members, from } = isRec(roster) ? roster : {};
+  const leaving = rowsOfTexts(from).filter((id) => !rowsOfTexts(members).includes(id));
+  return [
+    asTable([{ holder, term, roster: number, is, members: rowsOfTexts(members).join(" "), ...(leaving.length > 0 ? { leaving: leaving.join(" ") } : {}) }]),
+    "",
+    asTable(rowsOf(boxes)),
+  ].join("\n");
+};
+
+/** What each named signalbox knows by itself; one that is cut off tells too, and its word is its own. */
+const showCopies = async (options: Common): Promise<void> => {
+  const boxes = boxesOf(options);
+  const rows = await Promise.all(
+    boxes.map(async (box): Promise<Rec> => {
+      const told = await ask(box, "GET", "/tell/copy", "");
+      if (told.isErr) return { box, view: told.error.sentence };
+      const copy = isRec(told.value["copy"]) ? told.value["copy"] : {};
+      return Object.fromEntries(Object.entries(copy).map(([name, value]) => [name, Array.isArray(value) ? value.join(" ") : value]));
+    }),
+  );
+  const reached = rows.some((row) => row["counting"] !== undefined);
+  process.stdout.write(`${options.json === true ? JSON.stringify(rows, undefined, 2) : asTable(rows)}\n`);
+  if (!reached) process.exitCode = boxes.length === 0 ? 2 : REACHED_NOBODY;
+};
+
 /** A span such as 90s, or a moment of the calendar, which is turned into the span until then. */
 const spanUntil = (when: string): Result<string, OrderMishap> => {
   if (parseSpan(when).isOk) return ok(when);
@@ -215,6 +244,10 @@
       finish(await askAny(boxesOf(options), "GET", `/tell/${name}`), show(options, name));
     });
   });
+  query(station.command("duty").description("who holds the duty, its term, the roster, and each signalbox with why it doesn't count")).action(async (options: Common) => {
+    finish(await askAny(boxesOf(options), "GET", "/tell/duty"), (told) => (options.json === true ? JSON.stringify(told["duty"], undefined, 2) : dutyText(told)));
+  });
+  query(station.command("copies").description("what each named signalbox knows by itself, also one that is cut off")).action(showCopies);
   const shift = (command: Command, why: string, done: string) =>
     common(command).action(async (cellName: string, options: Common) => {
       finish(await askAny(boxesOf(options), "POST", "/cells/shift", JSON.stringify({ cell: cellName, why })), () => done);
--- a/src/signalling/registry.ts
+++ b/src/signalling/registry.ts
@@ -67,14 +67,20 @@
  */
 export class Registry {
   private readonly entries = new Map<string, Entry>();
-  private readonly startedUs: number;
+  /** Since when beats, and what colleagues share of them, have been able to come in. */
+  private listeningSinceUs: number;
 
   constructor(private readonly clock: Clock, private readonly board: Board, private readonly heartbeatUs: number) {
-    this.startedUs = clock.nowUs();
+    this.listeningSinceUs = clock.nowUs();
   }
 
+  /** After a time in which beats could not come in: their lack says nothing, and workers may have come that aren't known here. */
+  readonly listenAnew = (): void => {
+    this.listeningSinceUs = this.clock.nowUs();
+  };
+
   /** Whether every worker that lives has had time to be heard here. */
-  readonly isComplete = (): boolean => this.clock.nowUs() - this.startedUs > this.heartbeatUs * MISSING_BEATS;
+  readonly isComplete = (): boolean => this.clock.nowUs() - this.listeningSinceUs > this.heartbeatUs * MISSING_BEATS;
 
   readonly all = (): readonly Beat[] => [...this.entries.values()].map((entry) => entry.beat);
 
@@ -83,11 +89,16 @@
   /** Takes up workers known before this start; those that are not heard soon go missing like any other. */
   readonly recall = (beats: readonly Beat[]): void => beats.forEach((beat) => this.take({ ...beat, state: "ready", warmUs: 0 }));
 
-  /** Takes a beat, heard here or shared; false if it is old. */
-  readonly take = (beat: Beat, ageUs = 0): boolean => {
+  /**
+   * Takes a beat, heard here or shared after `ageUs` elsewhere; false if it is old. One so old that its worker is missing
+   * counts as such at once: a colleague that was cut off tells of workers long gone.
+   */
+  readonly take = (told: Beat, ageUs = 0): boolean => {
     const nowUs = this.clock.nowUs() - ageUs;
+    const beat: Beat = told.state === "ready" && ageUs > this.heartbeatUs * MISSING_BEATS ? { ...told, state: "missing" } : told;
     const before = this.entries.get(beat.id);
     if (!before) {
+      if (ageUs > this.heartbeatUs * TOMBSTONE_BEATS) return false;
       this.entries.set(beat.id, { beat, heardUs: nowUs });
       this.board.post([factOf(beat)]);
       return true;
@@ -126,7 +137,7 @@
   readonly sweep = (): void => {
     const nowUs = this.clock.nowUs();
     this.entries.forEach((entry, id) => {
-      const silentUs = nowUs - entry.heardUs;
+      const silentUs = nowUs - Math.max(entry.heardUs, this.listeningSinceUs);
       if (silentUs > this.heartbeatUs * TOMBSTONE_BEATS) {
         this.entries.delete(id);
         this.board.forget([WORKER_PREFIX + id]);
--- a/src/signalling/sessions.ts
+++ b/src/signalling/sessions.ts
@@ -55,8 +55,8 @@
   readonly clock: Clock;
   readonly feeder: Feeder;
   readonly log: Log;
-  /** Whether this signalbox may feed: it has a plan to give and a majority in reach. */
-  readonly isFit: () => boolean;
+  /** Whether this signalbox may feed: it has a plan to give, and a majority was heard after the call. */
+  readonly isFit: () => Promise<boolean>;
   /** The cell that a planned window empties: it feeds nobody, and its signalbox serves its own nodes only. */
   readonly emptiedCell: () => string;
   readonly cell: string;
@@ -78,10 +78,11 @@
 
   readonly serve = async (wire: Wire, hello: Message, incoming: AsyncIterable<Message>): Promise<void> => {
     const node = readNode(hello["node"]);
-    if (!this.options.isFit() || this.isElsewhere(node)) {
+    if (!(await this.options.isFit()) || this.isElsewhere(node)) {
       wire.send({ kind: "adrift", boxes: this.options.boxes() });
       return;
     }
+    if (wire.isClosed) return;
     const session: Session = { node, wire, asks: new Asks(this.options.clock), parent: "" };
     this.own.get(node.name)?.wire.close();
     this.own.set(node.name, session);
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -30,6 +30,8 @@
 
 const LOOK_AGAIN_US = 150 * MS;
 const RELAY_WAIT_US = 600 * MS;
+/** How many signalboxes are remembered, those told last first. */
+const MOST_BOXES = 32;
 
 /**
  * A pointsman's way to the news: one session with a signalbox, and the news from it or from the relay it names.
@@ -38,7 +40,9 @@
 export class Taker {
   readonly events = new Emittery<{ crew: Crew; whole: undefined; fresh: number; unfed: undefined }>();
   private state: SessionState = "looking";
-  private boxes: { readonly id: string; readonly cell: string }[] = [];
+  /** Every signalbox that was told of, those told last first; who is no longer told of is kept behind, since a teller may be cut off. */
+  private boxes: readonly { readonly id: string; readonly cell: string; readonly isTold: boolean }[] = [];
+  private seeds: readonly string[];
   private wire: Wire | undefined;
   /** Invariant: set exactly while a relay feeds this node. */
   private relayWire: Wire | undefined;
@@ -49,8 +53,14 @@
 
   constructor(private readonly options: TakerOptions) {
     this.asks = new Asks(options.clock);
+    this.seeds = options.seeds;
   }
 
+  /** Takes the seeds of a settings file that was read again. */
+  readonly renewSeeds = (seeds: readonly string[]): void => {
+    this.seeds = seeds;
+  };
+
   /** Whether the news comes in, so that children may be fed. */
   get isFed(): boolean {
     return this.parent === "" ? this.state === "standing" : this.relayWire !== undefined;
@@ -118,18 +128,23 @@
     }
   }
 
-  /** The signalbox of the own cell first, and of the rest the one whose last failure is longest ago. */
+  /** The told signalbox of the own cell first, the other told ones, the rest; of those that failed the one whose failure is longest ago. */
   private readonly choose = (): string => {
-    const { seeds, cell } = this.options;
-    const known = [...new Set([...this.boxes.map((box) => box.id), ...seeds])];
-    const cellOf = (id: string) => this.boxes.find((box) => box.id === id)?.cell;
-    const score = (id: string) => (this.tried.get(id) ?? 0) + (cellOf(id) === cell ? 0 : 1) + Math.random() * 0.5;
-    return known.sort((a, b) => score(a) - score(b))[0] ?? "";
+    const byId = new Map(this.boxes.map((box) => [box.id, box]));
+    const known = [...new Set([...byId.keys(), ...this.seeds])];
+    const rankOf = (id: string): number => {
+      const box = byId.get(id);
+      return box?.isTold === true ? (box.cell === this.options.cell ? 0 : 1) : 2;
+    };
+    const scores = new Map(known.map((id) => [id, (this.tried.get(id) ?? 0) + rankOf(id) + Math.random() * 0.5]));
+    return known.sort((a, b) => (scores.get(a) ?? 0) - (scores.get(b) ?? 0))[0] ?? "";
   };
 
   private readonly learnBoxes = (message: Message): void => {
-    const told = list(message, "boxes", asRec).map((rec) => ({ id: text(rec, "id"), cell: text(rec, "cell") }));
-    if (told.length > 0) this.boxes = told;
+    const told = list(message, "boxes", asRec).map((rec) => ({ id: text(rec, "id"), cell: text(rec, "cell"), isTold: true }));
+    const ids = new Set(told.map(({ id }) => id));
+    const others = this.boxes.filter(({ id }) => !ids.has(id)).map((box) => ({ ...box, isTold: false }));
+    this.boxes = [...told, ...others].slice(0, MOST_BOXES);
   };
 
   /** Without news of its own a relay feeds nobody. */
--- a/src/trackbed/clock.ts
+++ b/src/trackbed/clock.ts
@@ -42,6 +42,18 @@
   };
 };
 
+/** Work done once for all who ask within `gatherUs` of the first. It begins after each of them has asked. */
+export const onceForAll = <R>(clock: Clock, gatherUs: number, work: () => Promise<R>): (() => Promise<R>) => {
+  let due: Promise<R> | undefined;
+  return () => {
+    due ??= rest(clock, gatherUs).then(() => {
+      due = undefined;
+      return work();
+    });
+    return due;
+  };
+};
+
 /** Resolves to the work's value, or to `late` once the wait is over; a rejected work counts as late too. */
 export const within = <T, L>(clock: Clock, waitUs: number, work: Promise<T>, late: L): Promise<T | L> =>
   new Promise((resolve) => {
--- a/src/trackbed/wire.ts
+++ b/src/trackbed/wire.ts
@@ -43,7 +43,7 @@
 /** Set in a frame's length where its body is deflated. Invariant: no body is so long that its length reaches this bit. */
 const DEFLATED = 0x4000_0000;
 /** Plans, news and copies of state shrink to a tenth, which thin links need; bodies of objects don't shrink at all. */
-const SHRINKING: ReadonlySet<string> = new Set(["news", "store", "copy", "beats", "sessions", "settled"]);
+const SHRINKING: ReadonlySet<string> = new Set(["news", "accept", "promised", "copy", "beats", "sessions", "settled"]);
 const SHRUNK_FROM_BYTES = 2_048;
 /** What goes to several is packed once. */
 const frames = new WeakMap<Message, Buffer>();
--- a/src/yewreel.ts
+++ b/src/yewreel.ts
@@ -20,7 +20,7 @@
 };
 
 /** The settings file may change with a signal or without one; what is wrong in it then changes nothing. */
-const watchSettings = async (path: string, clock: Clock): Promise<void> => {
+const watchSettings = async (path: string, clock: Clock, renew: (settings: Settings) => void): Promise<void> => {
   const log = logFor("settings");
   let last = await stamp(path);
   const look = async () => {
@@ -28,8 +28,10 @@
     if (now === last) return;
     last = now;
     const read = await readSettings(path);
-    if (read.isOk) setLogLevel(read.value.logLevel);
-    else log.warn(`The changed settings are not taken: ${read.error.sentence}.`);
+    if (read.isOk) {
+      setLogLevel(read.value.logLevel);
+      renew(read.value);
+    } else log.warn(`The changed settings are not taken: ${read.error.sentence}.`);
   };
   clock.every(LOOK_US, () => void look());
   process.on("SIGHUP", () => void look());
@@ -51,7 +53,7 @@
   const clock = new SteadyClock();
   const program = await load();
   const running = await program(read.value, clock);
-  await watchSettings(path, clock);
+  await watchSettings(path, clock, running.renew);
   let stopping = false;
   const stop = () => {
     if (stopping) return;
