--- a/src/interlocking/archive.ts
+++ b/src/interlocking/archive.ts
@@ -38,6 +38,8 @@
 interface Found {
   readonly kind: Kind;
   readonly number: number;
+  /** True as long as the file hasn't got the name under which it counts; nothing in it was ever called kept. */
+  readonly isAside: boolean;
   readonly name: string;
 }
 
@@ -53,17 +55,18 @@
   readonly isWhole: boolean;
 }
 
-const NAME = /^(snapshot|increment)-(\d+)\.bin$/;
+const NAME = /^(snapshot|increment)-(\d+)\.(bin|tmp)$/;
 const SUM_BYTES = 32;
 /** A snapshot is due once the increments are as large as the last one, or this large, or this many. */
 const LEAST_BYTES = 64 * 1024;
 const MOST_INCREMENTS = 512;
 /** At this many times what makes one due, increments wait for the snapshot. */
 const HARD_PART = 2;
-/** Records that a refusing disk left unkept; past these a snapshot takes their place. */
+/** A snapshot that the disk refused is tried again once so much more of what makes one due has come together. */
+const RETRY_PART = 0.25;
+/** Past so many records that a refusing disk left unkept, a snapshot takes their place. */
 const MOST_UNKEPT = 2_000;
 
-const nameOf = (kind: Kind, number: number): string => `${kind}-${number}.bin`;
 const sentenceOf = (mishap: unknown): string => (mishap instanceof Error ? mishap.message : "the disk refused");
 
 const pack = (kind: Kind, number: number, content: Content): { readonly bytes: Buffer; readonly sum: string } => {
@@ -118,8 +121,11 @@
   /** The bytes of each increment that no lasting snapshot stands for, by number. */
   private readonly increments = new Map<number, number>();
   /** What a disk that refused left unkept, in order; goes into the next increment. */
-  private unkept: Rec[] = [];
+  private unkept: readonly Rec[] = [];
+  /** The number of a first snapshot that the disk refused, so that the next try takes its place. */
+  private claimed: number | undefined;
   private snapshotting: Promise<void> | undefined;
+  private nextSnapshotPart = 1;
   private readonly rounds = new Together((calls: readonly Call[]) => this.round(calls));
 
   constructor(private readonly options: ArchiveOptions) {}
@@ -128,11 +134,6 @@
     return this.options.folder !== "";
   }
 
-  /** Bytes that lie on disk, as far as this life knows. */
-  get heldBytes(): number {
-    return this.snapshotBytes + this.incrementBytes;
-  }
-
   /** To be called once, before anything is kept. What it calls whole lasts from then on. */
   readonly load = async (): Promise<Loaded> => {
     if (!this.hasDisk) return { kind: "empty" };
@@ -140,7 +141,7 @@
     let records: readonly Rec[] = [];
     try {
       const files: ReadFile[] = [];
-      for (const found of await this.find()) files.push(await this.read(found));
+      for (const found of await this.find()) if (!found.isAside) files.push(await this.read(found));
       const why = files.length === 0 ? undefined : doubtOf(files);
       const from = why === undefined ? Math.max(0, files.map(({ kind }) => kind).lastIndexOf("snapshot")) : 0;
       records = files.slice(from).flatMap(({ content }) => content?.records ?? []);
@@ -150,7 +151,7 @@
       // A killed life may have renamed a file and not synced the folder; who goes by it now must not lose it later.
       await disk.syncFolder(folder);
       this.goOn(files.slice(from));
-      await this.tidy();
+      await this.tidy(files[from]?.number ?? 0);
       return { kind: "whole", records };
     } catch (mishap) {
       return { kind: "doubtful", records, why: sentenceOf(mishap) };
@@ -190,12 +191,13 @@
 
   private readonly round = async (calls: readonly Call[]): Promise<Result<void, ArchiveMishap>> => {
     const isWhole = calls.some((call) => call.isWhole);
-    this.unkept.push(...calls.flatMap(({ records }) => records));
+    const records = calls.flatMap((call) => call.records);
+    if (!isWhole && records.length === 0) return ok(undefined);
     if (isWhole || this.unkept.length > MOST_UNKEPT) this.needsSnapshot = true;
+    this.unkept = this.needsSnapshot ? [] : [...this.unkept, ...records];
     try {
-      if (this.needsSnapshot) {
-        if (isWhole || this.unkept.length > 0) await this.writeFirst(isWhole || this.isWhole);
-      } else if (this.unkept.length > 0) await this.writeIncrement();
+      if (this.needsSnapshot) await this.writeFirst(isWhole || this.isWhole);
+      else await this.writeIncrement();
       return ok(undefined);
     } catch (mishap) {
       return err({ kind: "disk", sentence: sentenceOf(mishap) });
@@ -206,19 +208,18 @@
   private readonly writeFirst = async (isWhole: boolean): Promise<void> => {
     await this.snapshotting;
     await this.options.disk.makeFolder(this.options.folder);
-    const highest = (await this.find()).at(-1)?.number ?? 0;
-    const number = Math.max(this.last, highest) + 1;
-    await this.writeSnapshot(number, isWhole);
-    this.last = number;
+    this.claimed ??= Math.max(this.last, ...(await this.find()).map(({ number }) => number)) + 1;
+    await this.writeSnapshot(this.claimed, isWhole);
+    this.last = this.claimed;
+    this.claimed = undefined;
     this.isWhole = isWhole;
     this.needsSnapshot = false;
-    this.unkept = [];
-    await this.tidy();
+    await this.tidy(this.last);
   };
 
   private readonly writeIncrement = async (): Promise<void> => {
     if (this.duePart >= HARD_PART) await this.snapshotting;
-    if (this.duePart >= 1) this.snapshotting ??= this.snapshotAside();
+    if (this.duePart >= Math.min(this.nextSnapshotPart, HARD_PART)) this.snapshotting ??= this.snapshotAside();
     if (this.duePart >= HARD_PART) await this.snapshotting;
     if (this.duePart >= HARD_PART) throw new Error("no snapshot could be written, and the room for increments is taken");
     const number = this.last + 1;
@@ -233,10 +234,12 @@
   /** Puts a snapshot in the place of the increments so far, while further ones are written. */
   private readonly snapshotAside = async (): Promise<void> => {
     try {
-      await this.writeSnapshot(this.last, this.isWhole);
-      await this.tidy();
+      const number = this.last;
+      await this.writeSnapshot(number, this.isWhole);
+      await this.tidy(number);
     } catch {
       // The files so far still hold everything; a later round tries again.
+      this.nextSnapshotPart = this.duePart + RETRY_PART;
     } finally {
       this.snapshotting = undefined;
     }
@@ -247,12 +250,13 @@
     const { bytes } = pack("snapshot", number, { link: this.link, isWhole, records: this.options.snapshot() });
     await this.put("snapshot", number, bytes);
     this.snapshotBytes = bytes.length;
+    this.nextSnapshotPart = 1;
     [...this.increments.keys()].filter((other) => other <= number).forEach((other) => this.increments.delete(other));
   };
 
   private readonly put = async (kind: Kind, number: number, bytes: Uint8Array): Promise<void> => {
     const { folder, disk } = this.options;
-    const aside = join(folder, `${kind}.tmp`);
+    const aside = join(folder, `${kind}-${number}.tmp`);
     try {
       await disk.write(aside, bytes);
     } catch (mishap) {
@@ -260,30 +264,28 @@
       await disk.remove(aside).catch(() => undefined);
       throw mishap;
     }
-    await disk.rename(aside, join(folder, nameOf(kind, number)));
+    await disk.rename(aside, join(folder, `${kind}-${number}.bin`));
     await disk.syncFolder(folder);
   };
 
-  /** Takes away what the newest snapshot stands for; what the disk refuses to remove goes the next time. */
-  private readonly tidy = async (): Promise<void> => {
+  /** Takes away what a lasting snapshot stands for; what the disk refuses to remove goes the next time. */
+  private readonly tidy = async (snapshot: number): Promise<void> => {
     const { folder, disk } = this.options;
     try {
-      const found = await this.find();
-      const newest = found.filter(({ kind }) => kind === "snapshot").at(-1)?.number ?? 0;
-      const old = found.filter(({ kind, number }) => number < newest || (kind === "increment" && number === newest));
+      const old = (await this.find()).filter(({ kind, number }) => number < snapshot || (kind === "increment" && number === snapshot));
       for (const { name } of old) await disk.remove(join(folder, name));
     } catch {
       // Files too many are no fault.
     }
   };
 
-  /** The files with a name of ours, by number, an increment before the snapshot that stands for it. */
+  /** The files that are ours, by number, an increment before the snapshot that stands for it. */
   private readonly find = async (): Promise<readonly Found[]> => {
     const names = await this.options.disk.list(this.options.folder);
     return names
       .flatMap((name): Found[] => {
-        const [, kind, number] = NAME.exec(name) ?? [];
-        return kind === undefined ? [] : [{ kind: kind === "snapshot" ? "snapshot" : "increment", number: Number(number), name }];
+        const [, kind, number, end] = NAME.exec(name) ?? [];
+        return kind === undefined ? [] : [{ kind: kind === "snapshot" ? "snapshot" : "increment", number: Number(number), isAside: end === "tmp", name }];
       })
       .sort((a, b) => a.number - b.number || a.kind.localeCompare(b.kind));
   };
--- a/src/interlocking/disk.ts
+++ b/src/interlocking/disk.ts
@@ -50,6 +50,9 @@
 
 /** The machine's own files. */
 export class FileDisk implements Disk {
+  /** Takes how a folder is synced, so that a test can see the order. */
+  constructor(private readonly sync: (folder: string) => Promise<void> = syncOf) {}
+
   readonly list = async (folder: string): Promise<readonly string[]> => {
     try {
       return await readdir(folder);
@@ -94,11 +97,11 @@
       isNew = await made(path);
     }
     try {
-      await syncOf(parent);
+      await this.sync(parent);
     } catch (mishap) {
       if (isNew !== false || !NOT_OURS.has(codeOf(mishap))) throw mishap;
     }
   };
 
-  readonly syncFolder = (path: string): Promise<void> => syncOf(path);
+  readonly syncFolder = (path: string): Promise<void> => this.sync(path);
 }
