Archive tests: a full disk, another chain's file, and more that the histories check

Change: two scenarios more, more keys, lives without changes, and what a start called whole counts as kept.

--- a/features/archive.feature
+++ b/features/archive.feature
@@ -23,6 +23,7 @@
       | "increment-4.bin" is gone                               | doubtful |
       | "snapshot-1.bin" is gone                                | doubtful |
       | "increment-5.bin" lies under the name "increment-6.bin" | doubtful |
+      | "increment-5.bin" is that of another chain              | doubtful |
       | the end of "increment-6.bin" lies under an aside name   | whole    |
       | all files are gone                                      | empty    |
 
@@ -41,6 +42,11 @@
     When a folder is made below two that are missing, and once more
     Then each parent was synced after its child was made and before the next one, and the lowest again
 
+  Scenario: A disk that is full
+    When a disk has room for a state and 70 increments of 1 kB, and 100 are kept
+    Then those that have room are kept though no snapshot fits, but for at most 2 beside a try of one, and the others are refused
+    And once there is room again the next one is kept, and a start finds exactly the state
+
   Scenario: Full, refusing and slow disks, kills and losses of power, and no file spoiled
     When 200 histories are played by seed, from 1
     Then every start that found it whole held all that was kept
--- a/features/steps/archive.ts
+++ b/features/steps/archive.ts
@@ -87,6 +87,12 @@
 When("{string} is cut short", async (name: string) => truncate(join(folder, name), 100));
 When("{string} is gone", async (name: string) => rm(join(folder, name)));
 When("{string} lies under the name {string}", async (name: string, other: string) => copyFile(join(folder, name), join(folder, other)));
+When("{string} is that of another chain", async (name: string) => {
+  const other = new Archive({ folder: join(folder, "other"), disk, snapshot: () => [] });
+  await other.keepWhole();
+  for (let at = 0; at < 5; at += 1) await other.keep([{ key: "route/0", n: at }]);
+  await copyFile(join(folder, "other", name), join(folder, name));
+});
 When("the end of {string} lies under an aside name", async (name: string) => writeFile(join(folder, "increment-7.tmp"), (await readFile(join(folder, name))).subarray(50)));
 When("all files are gone", async () => rm(folder, { recursive: true }));
 When("a file lies where the folder was", async () => {
@@ -133,6 +139,37 @@
   assert.deepEqual(synced, [" with 1", "a with 2", "a/b with 3", "a/b with 3"]);
 });
 
+const BOX = "/data/box";
+let room = new FaultyDisk(randomOf(1));
+let answers: boolean[] = [];
+When("a disk has room for a state and 70 increments of 1 kB, and 100 are kept", async () => {
+  room = new FaultyDisk(randomOf(1));
+  state = new Map([["big", { key: "big", n: 0, body: "x".repeat(60_000) }]]);
+  archive = new Archive({ folder: BOX, disk: room.open(), snapshot: () => [...state.values()] });
+  assert.ok((await archive.keepWhole()).isOk);
+  room.capacityBytes = room.heldBytes + 70 * 1_200;
+  answers = [];
+  for (let n = 0; n < 100; n += 1) {
+    const record = { key: "small", n, body: "x".repeat(1_000) };
+    state.set("small", record);
+    answers.push((await archive.keep([record])).isOk);
+    await archive.idle();
+  }
+});
+Then("those that have room are kept though no snapshot fits, but for at most {int} beside a try of one, and the others are refused", (most: number) => {
+  const room = answers.lastIndexOf(true) + 1;
+  const refused = answers.slice(0, room).filter((isKept) => !isKept).length;
+  assert.ok(room >= 70 && room < 100 && refused <= most, `${room} had room, ${refused} of them were refused`);
+});
+Then("once there is room again the next one is kept, and a start finds exactly the state", async () => {
+  room.capacityBytes *= 2;
+  assert.ok((await archive.keep([{ key: "small", n: 99, body: "x".repeat(1_000) }])).isOk);
+  room.losePower();
+  const loaded = await new Archive({ folder: BOX, disk: room.open(), snapshot: () => [] }).load();
+  assert.equal(loaded.kind, "whole");
+  assert.deepEqual(replay(loaded), state);
+});
+
 type Fault = "none" | "a load that falls back and calls it whole" | "a disk that forgets to sync folders";
 
 interface Played {
@@ -143,7 +180,7 @@
   readonly needless: readonly string[];
 }
 
-const KEYS = 10;
+const KEYS = 60;
 
 /** Lives of one box on one disk. What was kept is known to the test, as to a quorum, from which the box catches up. */
 const play = async (seed: number, spoils: boolean, fault: Fault): Promise<Played> => {
@@ -159,14 +196,17 @@
   for (let life = 1; life <= 6; life += 1) {
     let memory = new Map<string, Rec>();
     const numberOf = (key: string): number => Number(memory.get(key)?.["n"] ?? 0);
-    const copy = new Archive({ folder: "/data/box", disk: box.open(), snapshot: () => [...memory.values()] });
+    const copy = new Archive({ folder: BOX, disk: box.open(), snapshot: () => [...memory.values()] });
+    const handed: [string, number][] = [];
     const offer = async (): Promise<boolean> => {
       const key = `k${Math.floor(random() * KEYS)}`;
       const n = (number += 1);
-      const record = { key, n, body: "x".repeat(2_000) };
+      const record = { key, n, body: "x".repeat(1_500) };
       memory.set(key, record);
+      handed.push([key, n]);
       const safe = (await copy.keep([record])).isOk;
-      if (safe) kept.set(key, Math.max(n, kept.get(key) ?? 0));
+      // What is kept holds all that was handed in before it, also what the disk refused at first.
+      if (safe) handed.filter(([, before]) => before <= n).forEach(([name, before]) => kept.set(name, Math.max(before, kept.get(name) ?? 0)));
       return safe;
     };
     box.refusing = random() < 0.2 ? 0.02 : 0;
@@ -177,6 +217,8 @@
     if (isWhole) {
       wholeStarts += 1;
       for (const [key, n] of kept) if (numberOf(key) < n) missing.push(`seed ${seed}, life ${life}: ${key} is at ${numberOf(key)}, ${n} was kept`);
+      // Who starts goes by what was found, so it must last like what was kept.
+      for (const key of memory.keys()) kept.set(key, Math.max(numberOf(key), kept.get(key) ?? 0));
     } else if (isVouched && box.isUp && box.refusing === 0) needless.push(`seed ${seed}, life ${life}: ${loaded.kind === "doubtful" ? loaded.why : loaded.kind}`);
     if (!isWhole && box.isUp) isVouched = false;
     if (!isWhole && random() < 0.8) {
@@ -184,7 +226,8 @@
       if ((await copy.keepWhole()).isOk) isVouched = true;
     }
     const offers: Promise<boolean>[] = [];
-    for (let at = 0; at < 80 && box.isUp; at += 1) {
+    const count = random() < 0.3 ? 0 : 80;
+    for (let at = 0; at < count && box.isUp; at += 1) {
       if (random() < 0.05) box.refusing = [0, 0.01, 0.3][Math.floor(random() * 3)] ?? 0;
       if (random() < 0.05) box.capacityBytes = random() < 0.5 ? Number.POSITIVE_INFINITY : box.heldBytes + random() * 50_000;
       offers.push(offer());
@@ -192,7 +235,7 @@
     }
     box.refusing = 0;
     box.capacityBytes = Number.POSITIVE_INFINITY;
-    if (random() < 0.5) {
+    if (count > 0 && random() < 0.5) {
       await Promise.all(offers);
       if (!(await offer()) && box.isUp) needless.push(`seed ${seed}, life ${life}: a disk that was well again kept nothing`);
     }
