--- a/fuzz/raw-caller.ts
+++ b/fuzz/raw-caller.ts
@@ -15,6 +15,7 @@
   readonly told: Told[] = [];
   /** Methods of what was sent, in order; an answer to HEAD has no body whatever its head says. */
   private readonly methods: string[] = [];
+  private kept = "";
   /** Bytes that have come and are no whole answer. */
   held = "";
   isClosed = false;
@@ -39,7 +40,22 @@
 
   readonly send = (method: string, path: string, heads: Readonly<Record<string, string>>, body = ""): void => {
     this.expect(method);
-    this.socket.write(requestOf(method, path, heads, body), "latin1");
+    this.write(requestOf(method, path, heads, body));
+  };
+
+  readonly write = (bytes: string): void => {
+    this.flush();
+    this.socket.write(bytes, "latin1");
+  };
+
+  /** Keeps bytes back until more is written or they are flushed. */
+  readonly hold = (bytes: string): void => {
+    this.kept = bytes;
+  };
+
+  readonly flush = (): void => {
+    if (this.kept !== "" && !this.socket.destroyed) this.socket.write(this.kept, "latin1");
+    this.kept = "";
   };
 
   private readonly read = (): void => {
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -59,6 +59,8 @@
 const SILENCE_CHECK_US = 120 * MS;
 const CLAIM_PART = 5;
 const KEEP_PART = 0.5;
+/** For how long after the time it was given a worker's last word on a keyed request is still waited for. */
+const KEYED_REST_US = 1 * SECOND;
 /** How many workers that can't be reached a request looks for beyond its tries. */
 const MOST_UNREACHED = 2;
 const MOST_KEY = 200;
@@ -83,7 +85,7 @@
   private open = 0;
   private leaving = false;
   private emptied = false;
-  private lastArrivalUs = Number.NEGATIVE_INFINITY;
+  private lastReadUs = Number.NEGATIVE_INFINITY;
   /** When requests last came after a time in which none did: this process may have stood still meanwhile. */
   private resumedUs = Number.NEGATIVE_INFINITY;
 
@@ -149,8 +151,6 @@
     if (line.closedBy !== Infinity) return;
     line.came += 1;
     const arrivedUs = clock.nowUs();
-    if (arrivedUs - this.lastArrivalUs > STANDSTILL_US) this.resumedUs = arrivedUs;
-    this.lastArrivalUs = arrivedUs;
     const left = Number(req.headers[TIME_LEFT]);
     const prior = line.last;
     const trip: Trip = {
@@ -183,8 +183,7 @@
         this.open -= 1;
         if (!trip.over) this.abandoned(trip);
         this.end(trip);
-        this.room.give(trip.heldBytes);
-        trip.heldBytes = 0;
+        this.giveRoom(trip);
         resolve();
       };
       line.closers.add(close);
@@ -205,12 +204,8 @@
   private readonly read = async (trip: Trip): Promise<void> => {
     const { table, clock } = this.options;
     const { req } = trip;
-    if (trip.arrivedUs - this.resumedUs <= RESUMING_US) {
-      // What lay unread may be its caller's leaving too, which the next turn of the loop reads.
-      await turn();
-      await turn();
-      if (trip.over) return;
-    }
+    await this.seeWhoLeft();
+    if (trip.over) return;
     const length = Number(req.headers["content-length"] ?? 0);
     const hasBody = length > 0 || req.headers["transfer-encoding"] !== undefined;
     if (length > table.limits.maxBodyBytes) return this.refuse(trip, "bodyTooLarge");
@@ -220,6 +215,7 @@
       return this.direct(trip);
     }
     const held = await within(clock, trip.budgetUs - clock.nowUs(), this.hold(trip), "slowBody" as const);
+    await this.seeWhoLeft();
     if (trip.over) return;
     if (held === "slowBody" || held === "bodyTooLarge" || held === "full") return this.refuse(trip, held);
     if (held === "broken") return this.end(trip);
@@ -227,6 +223,16 @@
     this.direct(trip);
   };
 
+  /** What lay unread through a standstill may be a caller's leaving too, which a later turn of the loop reads. */
+  private readonly seeWhoLeft = async (): Promise<void> => {
+    const nowUs = this.options.clock.nowUs();
+    if (nowUs - this.lastReadUs > STANDSTILL_US) this.resumedUs = nowUs;
+    this.lastReadUs = nowUs;
+    if (nowUs - this.resumedUs > RESUMING_US) return;
+    await turn();
+    await turn();
+  };
+
   private readonly hold = async (trip: Trip): Promise<Buffer | "broken" | "bodyTooLarge" | "full"> => {
     const chunks: Buffer[] = [];
     let size = 0;
@@ -244,13 +250,18 @@
     return trip.req.complete ? Buffer.concat(chunks) : "broken";
   };
 
-  /** After the request's end nothing is taken, since nothing would be given back. */
+  /** After the request's end nothing is taken, but for a keyed run, whose answer is kept: its carrier gives it back. */
   private readonly takeRoom = (trip: Trip, bytes: number): boolean => {
-    if (trip.over || !this.room.take(bytes)) return false;
+    if ((trip.over && !trip.claim) || !this.room.take(bytes)) return false;
     trip.heldBytes += bytes;
     return true;
   };
 
+  private readonly giveRoom = (trip: Trip): void => {
+    this.room.give(trip.heldBytes);
+    trip.heldBytes = 0;
+  };
+
   /** Route: the longest prefix of the host, and by its shares a service. */
   private readonly direct = (trip: Trip): void => {
     const { table, random, budgets } = this.options;
@@ -354,22 +365,24 @@
       if (this.isPast(trip)) return this.runOut(trip);
       if (this.wouldBeLate(trip, route, worker)) break;
       const verdict = await this.call(trip, route, worker);
-      if (verdict.kind === "answered" && !trip.fate.mayPass(verdict.answer.status, route.isSafe)) {
-        // It has run, and its status would promise that it has not.
-        verdict.answer.rest?.stop();
-        break;
-      }
-      if (verdict.kind === "answered" && trip.claim) await this.keep(trip, verdict.answer);
-      if (trip.over || verdict.kind === "cancelled") break;
       if (verdict.kind === "answered") {
+        // Where it may not pass, it has run and its status would promise that it has not.
+        const mayPass = trip.fate.mayPass(verdict.answer.status, route.isSafe);
+        if (mayPass && trip.claim) await this.keep(trip, verdict.answer);
+        if (trip.over || !mayPass) {
+          verdict.answer.rest?.stop();
+          break;
+        }
         const isOwnMishap = verdict.answer.status >= 500;
         if (!isOwnMishap || !route.isSafe || trip.sends >= route.tries) return this.answer(trip, verdict.answer);
         lastAnswer = verdict.answer;
-      } else if (verdict.kind === "lost" && !route.isSafe) break;
+      } else if (trip.over || verdict.kind === "cancelled" || (verdict.kind === "lost" && !route.isSafe)) break;
       else if (verdict.kind === "unsent" && verdict.why === "unwritable") return this.refuse(trip, "malformed");
     }
-    if (trip.over) this.freeClaim(trip);
-    else if (lastAnswer) this.answer(trip, lastAnswer);
+    if (trip.over) {
+      this.freeClaim(trip);
+      this.giveRoom(trip);
+    } else if (lastAnswer) this.answer(trip, lastAnswer);
     else this.refuse(trip, "lostAnswer");
   };
 
@@ -530,8 +543,13 @@
     trip.over = true;
     this.freeClaim(trip);
     trip.fate.close();
-    // A keyed run whose caller is gone goes on, so that its answer can be kept for the repeats.
-    if (!trip.claim || trip.res.writableEnded) trip.calls.forEach((call) => call.cancel());
+    const cancel = () => {
+      trip.calls.forEach((call) => call.cancel());
+      if (trip.body !== null && !Buffer.isBuffer(trip.body)) trip.body.destroy();
+    };
+    // A keyed run whose caller is gone goes on while its worker may be at it, so that its answer can be kept for the repeats.
+    if (!trip.claim || trip.res.writableEnded) cancel();
+    else this.options.clock.after(trip.budgetUs - this.options.clock.nowUs() + KEYED_REST_US, cancel);
     trip.onOver.splice(0).forEach((act) => act());
   };
 
