--- a/fuzz/raw-caller.ts
+++ b/fuzz/raw-caller.ts
@@ -22,7 +22,7 @@
   readonly socket: Socket;
 
   constructor(host: string, port: number) {
-    this.socket = connect(port, host);
+    this.socket = connect({ port, host, noDelay: true });
     this.socket.on("error", () => undefined);
     this.socket.on("close", () => {
       this.isClosed = true;
--- a/fuzz/rig.ts
+++ b/fuzz/rig.ts
@@ -84,7 +84,7 @@
   readonly plan?: string;
   readonly random?: () => number;
   /** What the front goes by instead of the rig's leaping clock. */
-  readonly clockOf?: (leaping: LeapingClock, still: ManualClock) => Clock;
+  readonly clockOf?: (leaping: LeapingClock) => Clock;
   readonly ask?: (message: Message) => Promise<Message | undefined>;
   readonly retryRatio?: number;
 }
@@ -107,7 +107,7 @@
 
   constructor(options: RigOptions = {}) {
     const { clockOf, random = Math.random, retryRatio = 100, plan = planOf(), ask = this.book.ask } = options;
-    const clock = clockOf?.(this.leaping, this.clock) ?? this.leaping;
+    const clock = clockOf?.(this.leaping) ?? this.leaping;
     rigs += 1;
     this.host = `127.${64 + ((process.pid >> 8) % 64)}.${process.pid & 255}.${(rigs % 250) + 1}`;
     this.port = 12_000 + Math.floor(rigs / 250);
--- a/fuzz/scripted-worker.ts
+++ b/fuzz/scripted-worker.ts
@@ -62,7 +62,7 @@
 
   readonly start = (): Promise<void> =>
     new Promise((resolve) => {
-      this.server = createServer(this.serve);
+      this.server = createServer({ noDelay: true }, this.serve);
       this.server.listen(0, "127.0.0.1", resolve);
     });
 
--- a/fuzz/variants.ts
+++ b/fuzz/variants.ts
@@ -19,6 +19,6 @@
   "tries are not counted": { rig: { plan: planOf(TRIES + 2) }, lies: {}, noticedBy: "fewTries" },
   "every claim of a key wins": { rig: { ask: async ({ kind }) => (kind === "key-claim" ? { kind: "claim", verdict: "won" } : { kind: "claim", kept: true }) }, lies: {}, noticedBy: "oneRunAKey" },
   "no time ever runs out": { rig: { clockOf: ({ nowUs }) => ({ nowUs, after: () => NEVER, every: () => NEVER }) }, lies: {}, noticedBy: "answered" },
-  "a standstill goes unnoticed": { rig: { clockOf: (_leaping, still) => still }, lies: {}, noticedBy: "inTime" },
+  "callers leave and nobody notices": { rig: {}, lies: { leavesUnseen: true }, noticedBy: "inTime" },
   "calls are never ended": { rig: { clockOf: ({ nowUs }) => ({ nowUs, after: () => NEVER, every: () => NEVER }) }, lies: {}, noticedBy: "allClosed" },
 };
--- a/fuzz/world.ts
+++ b/fuzz/world.ts
@@ -24,6 +24,8 @@
   readonly borrowsIds?: boolean;
   /** What callers say they sent is not what they sent. */
   readonly alters?: boolean;
+  /** Callers that leave keep their connections, so nobody can notice. */
+  readonly leavesUnseen?: boolean;
 }
 
 /** One scenario on real sockets: a front, and workers and callers around it, on one clock that only moves when told. */
@@ -37,6 +39,7 @@
   private readonly broken = new Set<string>();
   private readonly stoodStillUs: number[] = [];
   private readonly workers: ScriptedWorker[] = [];
+  private readonly callers: RawCaller[] = [];
   private waiting = 0;
   private tries = 0;
   private orders = 0;
@@ -55,10 +58,16 @@
       this.waiting += 1;
       this.after(plan.startMs, () => this.call(plan, plan.requests.map(() => this.newOrder()), 0));
     });
-    scenario.standstills.forEach(({ atMs, spanMs }) => this.after(atMs, () => this.standStill(spanMs * MS)));
+    const standstills = [...scenario.standstills].sort((one, other) => one.atMs - other.atMs);
     while (this.waiting > 0 && leaping.nowUs() - startUs < LONGEST_US) {
       await clock.pass(STEP_US);
       this.runDue(leaping.nowUs());
+      const next = standstills[0];
+      if (!next || leaping.nowUs() < startUs + next.atMs * MS) continue;
+      standstills.shift();
+      // What left before the standstill arrives before it.
+      await settle(20);
+      this.standStill(next.spanMs * MS);
     }
     const leftOpen = async (): Promise<number> => {
       const open = () => rig.front.openRequests + rig.yard.all().reduce((sum, { own }) => sum + own, 0);
@@ -68,6 +77,7 @@
     const left = await leftOpen();
     rig.stop();
     this.workers.forEach((worker) => worker.stop());
+    this.callers.forEach(({ socket }) => socket.destroy());
     await settle(4);
     const { sent, arrived, produced, heads, broken } = this;
     return { sent, arrived, produced, heads, broken, leftOpen: left };
@@ -101,6 +111,7 @@
   private readonly call = (plan: CallerPlan, orders: readonly string[], again: number): void => {
     const { rig } = this;
     const caller = new RawCaller(rig.host, rig.port);
+    this.callers.push(caller);
     const own: Sent[] = [];
     let isOver = false;
     const end = (isLeaving: boolean): void => {
@@ -113,7 +124,8 @@
         if (isLeaving && !sent.told) sent.leftUs = nowUs;
       });
       this.judgeOwed(plan, caller, own, isLeaving, nowUs);
-      if (isLeaving && plan.leaves?.resets === true) caller.socket.resetAndDestroy();
+      if (isLeaving && this.lies.leavesUnseen === true) caller.socket.pause();
+      else if (isLeaving && plan.leaves?.resets === true) caller.socket.resetAndDestroy();
       else caller.socket.destroy();
       if (!plan.leaves && again < MOST_AGAIN) this.callAgain(plan, orders, own, again);
     };
@@ -219,13 +231,14 @@
   /** Late answers of every kind, to somebody else. */
   private readonly late = (arrival: Arrival, delayMs: number): string => {
     const id = this.lies.borrowsIds === true ? arrival.tryId : "t-somebody-else";
-    const [status, heads, body] = [
+    const answers: readonly [number, Readonly<Record<string, string>>, string][] = [
       [200, { "Yewreel-Server-Seal": "s.extra" }, "EXTRA"],
       [503, { "Yewreel-Not-Run": "1" }, ""],
       [421, {}, ""],
       [500, { "Yewreel-Server-Seal": "s.extra" }, "EXTRA"],
-    ][delayMs % 4] ?? [200, {}, ""];
-    return answerOf(Number(status), { "Yewreel-Try-Id": id, ...(typeof heads === "object" ? heads : {}) }, String(body));
+    ];
+    const [status, heads, body] = answers[delayMs % answers.length] ?? [200, {}, ""];
+    return answerOf(status, { "Yewreel-Try-Id": id, ...heads }, body);
   };
 
   private readonly act = (act: Act, arrival: Arrival, socket: Socket, delayMs: number): void => {
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -352,7 +352,10 @@
     const { clock, budgets } = this.options;
     const { route } = trip;
     if (!route) return;
-    if (!route.isSafe) await trip.prior;
+    if (!route.isSafe) {
+      await trip.prior;
+      await this.seeWhoLeft();
+    }
     const budget = clock.after(trip.budgetUs - clock.nowUs(), () => this.runOut(trip));
     trip.onOver.push(budget.stop);
     if (route.kind === "keyed" && !(await this.claim(trip, route))) return;
