--- a/simulator/play.ts
+++ b/simulator/play.ts
@@ -193,7 +193,8 @@
       case "all":
         machines.filter(({ goneUs, box }) => goneUs === undefined && box !== undefined).forEach((machine) => {
           const slot = slots.indexOf(machine);
-          stop(machine, event.downUs[slot] ?? 500 * MS, event.wiped.includes(slot) ? "wipe" : event.byPower ? "power" : "kill");
+          const how = event.wiped.includes(slot) ? "wipe" : event.spoiled.includes(slot) ? "spoil" : event.byPower ? "power" : "kill";
+          stop(machine, event.downUs[slot] ?? 500 * MS, how);
         });
         break;
       case "noise":
--- a/simulator/schedule.ts
+++ b/simulator/schedule.ts
@@ -37,7 +37,7 @@
   | { readonly kind: "replace"; readonly slot: number }
   /** The new machine comes first, and the old one leaves in order. */
   | { readonly kind: "succeed"; readonly slot: number }
-  | { readonly kind: "all"; readonly byPower: boolean; readonly wiped: readonly number[]; readonly downUs: readonly number[] }
+  | { readonly kind: "all"; readonly byPower: boolean; readonly wiped: readonly number[]; readonly spoiled: readonly number[]; readonly downUs: readonly number[] }
   | { readonly kind: "noise"; readonly noise: Noise; readonly forUs: number }
 );
 
@@ -62,6 +62,8 @@
 const TROUBLES_UNTIL_US = 26 * SECOND;
 const KEYS = ["route/a", "route/b", "route/c", "route/d", "service/e", "route/f", "route/g", "route/h"];
 const KINDS = ["kill", "kill", "power", "power", "wipe", "wipe", "spoil", "spoil", "freeze", "freeze", "cut", "cut", "disk", "replace", "replace", "succeed", "all", "noise"] as const;
+/** A cut as short as this only makes what is sent late or, where an end is killed, lost; nobody counts as lost by it. */
+const HINDRANCE_US = 20 * MS;
 const LATEST_CALM_US = 40 * SECOND;
 const DISK_LOSSES: readonly string[] = ["wipe", "spoil", "replace", "succeed"];
 
@@ -102,24 +104,39 @@
     slots.filter((slot) => isDiskLost(slot, atUs)).forEach((slot) => (diskLostUntilUs[slot] = lostUntilUs[slot] ?? 0));
     events.push({ atUs, kind: "noise", forUs, noise: { lost: chance.share() * 0.4, late: chance.share() * 0.3, doubled: chance.share() * 0.3 } });
   };
+  /** Whoever is back is asked at once. */
+  const readSoonAfter = (atUs: number): void => {
+    for (let count = 0; count < 3; count += 1) events.push({ atUs: atUs + chance.whole(1 * MS, 700 * MS), kind: "read", slot: chance.whole(0, boxes - 1) });
+  };
+  // Plays differ in what happens most in them, so that rare things happen together in some.
+  const favoured = chance.pick(KINDS);
+  const noisePart = chance.pick([0, 0.2, 0.8]);
   let atUs = CATCH_UP_US;
   for (;;) {
     atUs += chance.whole(10 * MS, 1_200 * MS);
     const order = chance.hits(0.6) ? orders.find((event) => event.kind === "order" && event.atUs > atUs) : undefined;
     if (order) atUs = order.atUs + chance.whole(0, 60 * MS);
     if (atUs > TROUBLES_UNTIL_US) break;
-    const kind = chance.pick(KINDS);
-    if (kind === "noise" || chance.hits(0.2)) addNoise(Math.max(CATCH_UP_US, atUs - chance.whole(0, 500 * MS)));
+    const kind = chance.hits(0.4) ? favoured : chance.pick(KINDS);
+    if (kind === "noise" || chance.hits(noisePart)) addNoise(Math.max(CATCH_UP_US, atUs - chance.whole(0, 500 * MS)));
     if (kind === "noise") continue;
     if (kind === "all") {
       if (atUs < leavingUntilUs) continue;
       const byPower = chance.hits(0.6);
       const sound = slots.filter((slot) => !isLost(slot, atUs));
       const room = beyond ? withstandMachines - disksLost : withstandMachines - (boxes - sound.length);
-      const wiped = chance.hits(0.7) ? sound.filter(() => chance.hits(0.5)).slice(0, Math.max(0, room)) : [];
+      const harmed = chance.hits(0.7) ? sound.filter(() => chance.hits(0.5)).slice(0, Math.max(0, room)) : [];
+      const wiped = harmed.filter(() => chance.hits(0.5));
+      const spoiled = harmed.filter((slot) => !wiped.includes(slot));
       const downUs = slots.map(() => chance.whole(50 * MS, 1_000 * MS));
-      slots.forEach((slot) => lose(slot, atUs + (downUs[slot] ?? 0), wiped.includes(slot) || isDiskLost(slot, atUs)));
-      events.push({ atUs, kind, byPower, wiped, downUs });
+      slots.forEach((slot) => lose(slot, atUs + (downUs[slot] ?? 0), harmed.includes(slot) || isDiskLost(slot, atUs)));
+      events.push({ atUs, kind, byPower, wiped, spoiled, downUs });
+      // At times the order that is then under way or just confirmed hasn't reached everyone yet.
+      if (order && chance.hits(0.7)) {
+        const slot = chance.pick(slots);
+        events.push({ atUs: order.atUs - HINDRANCE_US, kind: "cut", slot, others: slots.filter((other) => other !== slot), way: "both", forUs: atUs - order.atUs + HINDRANCE_US });
+      }
+      readSoonAfter(atUs + Math.min(...downUs));
       continue;
     }
     const free = slots.filter((slot) => !isLost(slot, atUs));
@@ -141,6 +158,7 @@
       case "wipe":
       case "spoil":
         events.push({ atUs, kind, slot, downUs: forUs });
+        readSoonAfter(atUs + forUs);
         lose(slot, atUs + forUs, true);
         break;
       case "freeze":
