--- /dev/null
+++ b/hunts/run.ts
@@ -0,0 +1,151 @@
+import { mkdir, readdir, readFile, writeFile } from "node:fs/promises";
+import { basename, dirname, join } from "node:path";
+import { text as textOfStream } from "node:stream/consumers";
+import { Command } from "commander";
+import { parse } from "smol-toml";
+import { asRec, list, parseJson, ShapeMishap, text } from "../src/trackbed/shape.js";
+import { drawDay, seedsOf, writeDay, type Site } from "./days.js";
+import { readEntry, type Played, type Unplayed } from "./journal.js";
+import { parseKinds } from "./kinds.js";
+import { pageOf, readNotes, summaryOf } from "./table.js";
+
+/** What stops a command: one line for whoever called it. */
+class HuntsMishap extends Error {}
+
+const MOST_DAYS = 1_000;
+/** A day file's length in seconds; an issue of the users names these bounds. */
+const SHORTEST_S = 32;
+const LONGEST_S = 120;
+const PROGRESS_EVERY = 50;
+
+const readText = async (path: string): Promise<string> => {
+  if (path === "-") return textOfStream(process.stdin);
+  try {
+    return await readFile(path, "utf8");
+  } catch {
+    throw new HuntsMishap(`${path} cannot be read`);
+  }
+};
+
+/** Reads a file with a reader that throws; the mishap names the file. */
+const readWith = async <T>(path: string, read: (body: string) => T): Promise<T> => {
+  const body = await readText(path);
+  try {
+    return read(body);
+  } catch (mishap) {
+    throw new HuntsMishap(`${path}: ${mishap instanceof Error ? (mishap.message.split("\n")[0] ?? "") : "cannot be read"}`);
+  }
+};
+
+const siteOf = (body: string): Site => {
+  const site = asRec(parse(body), "site");
+  return { name: text(site, "name"), zones: list(site, "zones", (zone) => text(asRec(zone, "zone"), "name")) };
+};
+
+const wholeOf = (name: string, given: string, least: number, most: number): number => {
+  const value = Number(given);
+  if (!Number.isSafeInteger(value) || value < least || value > most) throw new HuntsMishap(`${name} must be a whole number from ${least} to ${most}, not ${given}`);
+  return value;
+};
+
+interface DaysOptions {
+  readonly site: string;
+  readonly kinds: string;
+  readonly seed: string;
+  readonly count: string;
+  readonly out: string;
+  readonly shortest: string;
+  readonly longest: string;
+  readonly json?: boolean;
+}
+
+const drawDays = async (options: DaysOptions): Promise<void> => {
+  const seed = wholeOf("--seed", options.seed, 0, 2 ** 31 - 1);
+  const count = wholeOf("--count", options.count, 1, MOST_DAYS);
+  const longest = wholeOf("--longest", options.longest, SHORTEST_S, LONGEST_S);
+  const shortest = wholeOf("--shortest", options.shortest, SHORTEST_S, longest);
+  const site = await readWith(options.site, siteOf);
+  const kinds = parseKinds(await readText(options.kinds));
+  if (kinds.isErr) throw new HuntsMishap(kinds.error);
+  await mkdir(options.out, { recursive: true });
+  const written: { readonly file: string; readonly seed: number; readonly length_s: number; readonly changes: number; readonly troubles: number; readonly closing: string }[] = [];
+  for (const [at, daySeed] of seedsOf(seed, count).entries()) {
+    const day = drawDay(daySeed, site, kinds.value, [shortest, longest]);
+    const file = join(options.out, `${site.name}-${day.name}.toml`);
+    await writeFile(file, writeDay(day, site, `seed ${seed}, day ${at + 1}`));
+    const changes = day.plan.filter(({ kind }) => kind === "config_change").length;
+    written.push({ file, seed: daySeed, length_s: day.length_s, changes, troubles: day.plan.length + day.faults.length - changes, closing: day.closing?.kind ?? "none" });
+    if (written.length % PROGRESS_EVERY === 0) process.stderr.write(`${written.length} of ${count} days\n`);
+  }
+  const { leftOut } = kinds.value;
+  if (options.json === true) process.stdout.write(`${JSON.stringify({ site: site.name, leftOut, days: written })}\n`);
+  else {
+    written.forEach((day) => process.stdout.write(`${day.file}  ${day.length_s} s  ${day.changes} changes  ${day.troubles} troubles  closing ${day.closing}\n`));
+    if (leftOut.length > 0) process.stdout.write(`left out, since the system isn't built for them: ${leftOut.join(", ")}\n`);
+  }
+};
+
+interface TableOptions {
+  readonly journal: string;
+  readonly notes: string;
+  readonly out: string;
+  readonly since: string;
+  readonly json?: boolean;
+}
+
+const makeTable = async (options: TableOptions): Promise<void> => {
+  if (options.since !== "" && Number.isNaN(Date.parse(options.since))) throw new HuntsMishap(`--since must be a time such as 2026-12-02T04:30:00Z, not ${options.since}`);
+  const names = await readdir(options.journal).catch(() => {
+    throw new HuntsMishap(`${options.journal} cannot be read`);
+  });
+  const files = names.filter((name) => name.endsWith(".json")).sort();
+  const played: Played[] = [];
+  const unplayed: Unplayed[] = [];
+  for (const [at, name] of files.entries()) {
+    const entry = await readWith(join(options.journal, name), (body) => readEntry(parseJson(body)));
+    played.push(...entry.played);
+    unplayed.push(...entry.unplayed);
+    if ((at + 1) % PROGRESS_EVERY === 0) process.stderr.write(`${at + 1} of ${files.length} entries\n`);
+  }
+  const notes = await readWith(options.notes, (body) => readNotes(parse(body)));
+  const summary = summaryOf(played, unplayed, notes, options.since);
+  await mkdir(dirname(options.out), { recursive: true });
+  await writeFile(options.out, pageOf(summary));
+  if (options.json === true) process.stdout.write(`${JSON.stringify(summary)}\n`);
+  else process.stdout.write(`${basename(options.out)}: ${files.length} entries, ${summary.rows.length} deployments, ${summary.findings.length} rules broken.\n`);
+};
+
+/** Runs a command; what is wrong goes to stderr in one line, with code 2. */
+const guarded = async (work: Promise<void>): Promise<void> => {
+  try {
+    await work;
+  } catch (mishap) {
+    if (!(mishap instanceof HuntsMishap) && !(mishap instanceof ShapeMishap)) throw mishap;
+    process.stderr.write(`hunts: ${mishap.message}.\n`);
+    process.exitCode = 2;
+  }
+};
+
+const cli = new Command("hunts").description("days of our own for the bench, and the table of what was hunted");
+cli
+  .command("days")
+  .description("draws day files for a deployment from its list of kinds; the same seed gives the same files")
+  .requiredOption("--site <file>", "the deployment's site file")
+  .requiredOption("--kinds <file>", "what the bench lists as kinds for it; - reads standard input")
+  .requiredOption("--seed <n>", "where the draws begin")
+  .option("--count <n>", "how many days", "10")
+  .requiredOption("--out <folder>", "where the files are written")
+  .option("--shortest <s>", "least length of a day in seconds", String(SHORTEST_S))
+  .option("--longest <s>", "greatest length of a day in seconds", String(LONGEST_S))
+  .option("--json", "tells what was drawn as JSON")
+  .action((options: DaysOptions) => guarded(drawDays(options)));
+cli
+  .command("table")
+  .description("makes docs/hunts.md from the journal")
+  .option("--journal <folder>", "the journal's folder", "journal")
+  .option("--notes <file>", "what became of broken rules", "hunts/notes.toml")
+  .option("--out <file>", "the page", "docs/hunts.md")
+  .option("--since <time>", "leaves out runs that began before it", "")
+  .option("--json", "tells the sums as JSON")
+  .action((options: TableOptions) => guarded(makeTable(options)));
+await cli.parseAsync();
