--- a/hunts/journal.ts
+++ b/hunts/journal.ts
@@ -11,6 +11,8 @@
   readonly key: string;
   readonly whose: "own" | "hunt" | "standard";
   readonly small: boolean;
+  /** Whether processor time was charged. */
+  readonly charged: boolean;
   readonly kinds: readonly string[];
   readonly broken: Readonly<Record<string, number>>;
   /** Why the day wasn't played to its end; undefined if it was. */
@@ -66,6 +68,7 @@
       key: [site, name, seed, small ? "small" : "full"].join(" "),
       whose: own ? "own" : command === "hunt" ? "hunt" : "standard",
       small,
+      charged: !argv.includes("--no-cpu"),
       kinds: list(day, "troubles", textOf),
       broken: countsOf(day),
       ...(typeof fault === "string" ? { givenUp: fault.split("\n")[0] ?? fault } : {}),
--- a/hunts/table.ts
+++ b/hunts/table.ts
@@ -34,6 +34,8 @@
   /** Different days played to their end, by whose they are and their size; and all plays with those that repeat a day. */
   readonly days: Readonly<Record<Played["whose"], { readonly full: number; readonly small: number }>>;
   readonly plays: number;
+  /** How many of the plays charged no processor time. */
+  readonly uncharged: number;
   readonly givenUp: number;
   readonly partial: number;
   /** Plays of full days, and of small ones, that broke nothing since the last that did. */
@@ -90,6 +92,7 @@
       site,
       days: { own: both("own"), hunt: both("hunt"), standard: both("standard") },
       plays: here.length,
+      uncharged: here.filter((play) => !play.charged).length,
       givenUp: recent.filter((play) => play.site === site && play.givenUp !== undefined).length,
       partial: unplayed.filter((one) => one.site === site).length,
       unbroken: { full: unbrokenOf(here.filter((play) => !play.small)), small: unbrokenOf(here.filter((play) => play.small)) },
@@ -127,12 +130,13 @@
     "or drawn by `npm run hunts -- days`, *bench's* are those of its hunts, *standard* those of scores, single runs, incidents and",
     "replays. *Unbroken* is how many plays in a row, up to the newest, broke nothing. A broken rule is *mended* only if a note says",
     "so and the same day, played again, holds it; else it is *left*. A day that was given up or played in part is not counted.",
+    "*Uncharged* are plays in which processor time cost nothing (`--no-cpu`).",
     ...(since === "" ? [] : ["", `Only runs that began at ${since} or later are counted.`]),
     "",
-    "| deployment | own | bench's | standard | plays | given up | in part or not finished | unbroken | rules broken | mended | left |",
+    "| deployment | own | bench's | standard | plays (uncharged) | given up | in part or not finished | unbroken | rules broken | mended | left |",
     "|---|---|---|---|---|---|---|---|---|---|---|",
-    ...rows.map((row) => `| ${row.site} | ${sizes(row.days.own)} | ${sizes(row.days.hunt)} | ${sizes(row.days.standard)} | ${row.plays} | ${row.givenUp} | ${row.partial} | ${sizes(row.unbroken)} | ${row.found} | ${row.mended} | ${row.left} |`),
-    `| all | ${total("own")} | ${total("hunt")} | ${total("standard")} | ${sum((row) => row.plays)} | ${sum((row) => row.givenUp)} | ${sum((row) => row.partial)} | | ${sum((row) => row.found)} | ${sum((row) => row.mended)} | ${sum((row) => row.left)} |`,
+    ...rows.map((row) => `| ${row.site} | ${sizes(row.days.own)} | ${sizes(row.days.hunt)} | ${sizes(row.days.standard)} | ${row.plays} (${row.uncharged}) | ${row.givenUp} | ${row.partial} | ${sizes(row.unbroken)} | ${row.found} | ${row.mended} | ${row.left} |`),
+    `| all | ${total("own")} | ${total("hunt")} | ${total("standard")} | ${sum((row) => row.plays)} (${sum((row) => row.uncharged)}) | ${sum((row) => row.givenUp)} | ${sum((row) => row.partial)} | | ${sum((row) => row.found)} | ${sum((row) => row.mended)} | ${sum((row) => row.left)} |`,
     "",
     "## Kinds of trouble, and in how many plays each came",
     "",
