A started box tells its listeners all that stands once it has read; a join during a change replaces who is unseen then

Change: the first reading of a life tells all that stands; the unseen member is chosen among those who are members when the change begins.

--- a/features/plan.feature
+++ b/features/plan.feature
@@ -88,6 +88,14 @@
     Then the copy of box 2 holds route "r1" at version 7
     And reading through box 2 gives route "r1" at version 7
 
+  Scenario: A box that was started again tells its listeners all that stands, also what its disk knew to be agreed
+    Given the operator puts route "r1" at version 7 through box 1
+    And box 2 has read a quorum and has written all it knows
+    When every box is killed
+    And every box is started again
+    And someone reads through box 2
+    Then the listeners of box 2 were told of route "r1"
+
   Scenario: A random history of changes, cuts and kills loses nothing that was acknowledged
     Given every box is on the roster
     When 120 random steps of changes, cuts, kills and disk losses are played with seed 11
--- a/features/steps/plan.ts
+++ b/features/steps/plan.ts
@@ -262,6 +262,16 @@
   assert.ok(!bodies.has("none"));
 });
 
+Given("box {int} has read a quorum and has written all it knows", async (number: number) => {
+  await readThrough(box(number), "r1");
+  assert.ok((await copies.copy(box(number)).archive.keepWhole()).isOk);
+});
+
+Then("the listeners of box {int} were told of route {string}", async (number: number, name: string) => {
+  await settle();
+  assert.ok(copies.copy(box(number)).told.has(key(name)));
+});
+
 When("every box is killed", async () => {
   await settle(20);
   await copies.killAll();
--- a/features/support/copies.ts
+++ b/features/support/copies.ts
@@ -21,6 +21,8 @@
   readonly keys: Keys;
   readonly book: KeyBook;
   readonly learned: Purge[];
+  /** The keys of all that its listeners were told. */
+  readonly told: Set<string>;
 }
 
 export const STATE_FOLDER = "/state";
@@ -75,6 +77,8 @@
       patienceUs: 1_500_000,
       moveMore: () => this.copy(id).keys.spread(),
     });
+    const told = new Set<string>();
+    ledger.events.on("settled", (registers) => registers.forEach(({ key }) => told.add(key)));
     await ledger.start(firstRun);
     const book = new KeyBook({ folder: this.diskBytes === 0 ? "" : join(folder, "keys"), clock: this.clock, keyWindowUs: KEY_WINDOW_US, diskBytes: this.diskBytes });
     const learned: Purge[] = [];
@@ -90,7 +94,7 @@
       onPurge: (purge) => learned.push(purge),
     });
     await keys.start(firstRun);
-    const copy = { id, archive, state, ledger, duty, keys, book, learned };
+    const copy = { id, archive, state, ledger, duty, keys, book, learned, told };
     this.running.set(id, copy);
     return copy;
   };
--- a/src/interlocking/duty.ts
+++ b/src/interlocking/duty.ts
@@ -198,9 +198,11 @@
     const isReady = reply !== undefined && flag(reply, "counts") && isRec(reply["roster"]) && readRoster(asRec(reply["roster"])).number === ledger.roster().number;
     if (!isReady) return { yes: false, why: "the newcomer has not caught up" };
     this.watch();
-    const unseen = [...this.unseenUs].sort(([, a], [, b]) => a - b)[0];
+    const unseenOf = (members: readonly string[]) => [...this.unseenUs].filter(([member]) => members.includes(member)).sort(([, a], [, b]) => a - b)[0];
+    const unseen = unseenOf(ledger.members());
     if (unseen && clock.nowUs() - unseen[1] < REPLACE_US) return { yes: false, why: `${unseen[0]} may come back` };
-    const changed = await this.change((members) => [...members.filter((member) => member !== unseen?.[0]), id]);
+    // Chosen among those who are members then: a change that had begun may have replaced the one seen now.
+    const changed = await this.change((members) => [...members.filter((member) => member !== unseenOf(members)?.[0]), id]);
     return { yes: changed, why: "no quorum" };
   };
 
--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -135,6 +135,8 @@
   private changing = false;
   private heardTerm = 0;
   private refusals = 0;
+  /** Whether a quorum has been read in this life. */
+  private hasRead = false;
   /** The last floor raised for each copy that caught up; the further pieces of a reading bear the same one. */
   private readonly raised = new Map<string, Ballot>();
 
@@ -564,6 +566,16 @@
       const caughtUp = await this.catchUp();
       if (caughtUp.isErr) return caughtUp;
     }
+    const read = await this.readQuorum();
+    if (read.isOk && !this.hasRead) {
+      // What the disk already told to be agreed may be old until now, and is news to whoever listens.
+      this.hasRead = true;
+      await this.events.emit("settled", this.all());
+    }
+    return read;
+  };
+
+  private readonly readQuorum = async (): Promise<Result<void, LedgerMishap>> => {
     const first = await this.look();
     if (first.isErr) return err(first.error);
     if (first.value.length === 0) return ok(undefined);
