--- a/src/interlocking/duty.ts
+++ b/src/interlocking/duty.ts
@@ -3,7 +3,7 @@
 import { asRec, flag, isRec, text } from "../trackbed/shape.js";
 import { MS } from "../trackbed/span.js";
 import type { Message } from "../trackbed/wire.js";
-import { GRANT_KEY, readTerm, STORE_WAIT_US, type Ledger, type Term } from "./ledger.js";
+import { GRANT_KEY, READ_WAIT_US, readTerm, STORE_WAIT_US, type Ledger, type Term } from "./ledger.js";
 import { isJoint, packRoster, readRoster } from "./roster.js";
 
 const TICK_US = 250 * MS;
@@ -201,11 +201,21 @@
     const unseenOf = (members: readonly string[]) => [...this.unseenUs].filter(([member]) => members.includes(member)).sort(([, a], [, b]) => a - b)[0];
     const unseen = unseenOf(ledger.members());
     if (unseen && clock.nowUs() - unseen[1] < REPLACE_US) return { yes: false, why: `${unseen[0]} may come back` };
+    // A link may seem to stand for a while after a thaw or a cut: where all seem to be there, each is asked.
+    const silent = unseen ? undefined : await this.silentMember();
+    if (silent !== undefined) return { yes: false, why: `${silent} does not answer` };
     // Chosen among those who are members then: a change that had begun may have replaced the one seen now.
     const changed = await this.change((members) => [...members.filter((member) => member !== unseenOf(members)?.[0]), id]);
     return { yes: changed, why: "no quorum" };
   };
 
+  private readonly silentMember = async (): Promise<string | undefined> => {
+    const { ledger, self, ask } = this.options;
+    const others = ledger.members().filter((id) => id !== self);
+    const replies = await Promise.all(others.map((id) => ask(id, { kind: "contact", roster: packRoster(ledger.roster()) }, READ_WAIT_US)));
+    return others.find((_id, at) => replies[at] === undefined);
+  };
+
   private readonly leave = async (id: string): Promise<{ readonly yes: boolean; readonly why: string }> => {
     const { ledger, withstandMachines } = this.options;
     if (!this.isHolder()) return { yes: false, why: "this box does not hold the duty" };
