A node without a session looks first for signalboxes that were told of last

Change: two looks in three go to the boxes told last. Test: 'A node without a session doesn't spend its looks on signalboxes long gone'.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -44,3 +44,8 @@
     And the signalbox tells that all purges so far are known
     Then every pointsman holds 1500 routes within 300 ms
     And every pointsman was told so after it held them
+
+  Scenario: A node without a session doesn't spend its looks on signalboxes long gone
+    Given 3 signalboxes that are told of and 6 that are only seeds, none of which takes anyone
+    When a node has looked for one 13 times
+    Then at most 5 of the looks went to those that are only seeds
--- a/src/signalling/taker.ts
+++ b/src/signalling/taker.ts
@@ -32,6 +32,7 @@
 const RELAY_WAIT_US = 600 * MS;
 /** How many signalboxes are remembered, those told last first. */
 const MOST_BOXES = 32;
+const OTHERS_EVERY = 3;
 
 /**
  * A pointsman's way to the news: one session with a signalbox, and the news from it or from the relay it names.
@@ -49,6 +50,8 @@
   private parent = "";
   private tried = new Map<string, number>();
   private stopping = false;
+  /** How often a signalbox was looked for since the last session. */
+  private looks = 0;
   private readonly asks: Asks;
 
   constructor(private readonly options: TakerOptions) {
@@ -112,6 +115,7 @@
           if (first.value.kind === "welcome") {
             log.info(`Session with ${box} stands.`);
             this.tried.clear();
+            this.looks = 0;
             yield "standing";
             for await (const message of incoming) this.take(message);
             log.info(`Session with ${box} is over.`);
@@ -128,16 +132,19 @@
     }
   }
 
-  /** The told signalbox of the own cell first, the other told ones, the rest; of those that failed the one whose failure is longest ago. */
+  /**
+   * Of the signalboxes told last, that of the own cell first, else the one whose failure is longest ago. Every third look
+   * goes to the others, seeds and those told before: after replacements many of these are gone, and each costs a wait.
+   */
   private readonly choose = (): string => {
-    const byId = new Map(this.boxes.map((box) => [box.id, box]));
-    const known = [...new Set([...byId.keys(), ...this.seeds])];
-    const rankOf = (id: string): number => {
-      const box = byId.get(id);
-      return box?.isTold === true ? (box.cell === this.options.cell ? 0 : 1) : 2;
-    };
-    const scores = new Map(known.map((id) => [id, (this.tried.get(id) ?? 0) + rankOf(id) + Math.random() * 0.5]));
-    return known.sort((a, b) => (scores.get(a) ?? 0) - (scores.get(b) ?? 0))[0] ?? "";
+    this.looks += 1;
+    const told = this.boxes.filter(({ isTold }) => isTold);
+    const others = [...new Set([...this.boxes.map(({ id }) => id), ...this.seeds])].filter((id) => !told.some((box) => box.id === id));
+    const isOthersTurn = told.length === 0 || (others.length > 0 && this.looks % OTHERS_EVERY === 0);
+    const near = new Set(told.filter(({ cell }) => cell === this.options.cell).map(({ id }) => id));
+    const pool = isOthersTurn ? others : told.map(({ id }) => id);
+    const scores = new Map(pool.map((id) => [id, (this.tried.get(id) ?? 0) + (near.has(id) ? 0 : 1) + Math.random() * 0.5]));
+    return pool.sort((a, b) => (scores.get(a) ?? 0) - (scores.get(b) ?? 0))[0] ?? "";
   };
 
   private readonly learnBoxes = (message: Message): void => {
