Archive tests: a step's name that two features shared

Cause: with all features together '{string} is gone' of archive.ts also matched a step of terms.feature (3 scenarios ambiguous). Result: all scenarios of archive.feature pass beside the others.

--- a/features/archive.feature
+++ b/features/archive.feature
@@ -20,8 +20,8 @@
       | a byte of "increment-4.bin" is changed                  | doubtful |
       | a byte of "snapshot-1.bin" is changed                   | doubtful |
       | "increment-6.bin" is cut short                          | doubtful |
-      | "increment-4.bin" is gone                               | doubtful |
-      | "snapshot-1.bin" is gone                                | doubtful |
+      | the file "increment-4.bin" is gone                      | doubtful |
+      | the file "snapshot-1.bin" is gone                       | doubtful |
       | "increment-5.bin" lies under the name "increment-6.bin" | doubtful |
       | "increment-5.bin" is that of another chain              | doubtful |
       | the end of "increment-6.bin" lies under an aside name   | whole    |
--- a/features/steps/archive.ts
+++ b/features/steps/archive.ts
@@ -85,7 +85,7 @@
   await writeFile(join(folder, name), bytes);
 });
 When("{string} is cut short", async (name: string) => truncate(join(folder, name), 100));
-When("{string} is gone", async (name: string) => rm(join(folder, name)));
+When("the file {string} is gone", async (name: string) => rm(join(folder, name)));
 When("{string} lies under the name {string}", async (name: string, other: string) => copyFile(join(folder, name), join(folder, other)));
 When("{string} is that of another chain", async (name: string) => {
   const other = new Archive({ folder: join(folder, "other"), disk, snapshot: () => [] });
