--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -39,8 +39,8 @@
 const SWEEP_US = 1 * SECOND;
 const GATHER_JOINS_US = 60 * MS;
 const REMEMBER_US = 500 * MS;
-/** Beats that come within this time of each other share a round of contact, which gathers a little itself. */
-const GATHER_BEATS_US = 60 * MS;
+/** Beats that come within this time of each other share a message and a round of contact, which gathers a little itself. */
+const GATHER_BEATS_US = 100 * MS;
 /** A signalbox that no majority has answered for so long feeds nobody, also where its links seem to stand. */
 const UNPROVEN_US = 3 * SECOND;
 /** A first feed is no older than this: where the last reading is, another comes first. */
@@ -142,7 +142,14 @@
     wasCutOff = false;
     provenUs = Math.max(provenUs, beganUs);
   };
-  const hearMajority = onceForAll(clock, GATHER_BEATS_US, ledger.contact);
+  /** Beats of workers that go on, not yet shared. */
+  const gathered = new Map<string, Beat>();
+  /** True once a majority was heard after the call; beats gathered meanwhile are shared before. */
+  const hearMajority = onceForAll(clock, GATHER_BEATS_US, () => {
+    if (gathered.size > 0) colleagues.send({ kind: "beats", beats: [...gathered.values()] });
+    gathered.clear();
+    return ledger.contact();
+  });
   /** What is fed first is no part of the plan and not old, and a majority was heard after the node came. */
   const isFit = async (): Promise<boolean> => {
     if (readUs === undefined || isAdrift()) return false;
@@ -264,11 +271,11 @@
   };
 
   const share = async (beats: readonly Beat[], waits: boolean): Promise<boolean> => {
-    const message: Message = { kind: "beats", beats };
     if (!waits) {
-      colleagues.send(message);
+      beats.forEach((beat) => gathered.set(beat.id, beat));
       return hearMajority();
     }
+    const message: Message = { kind: "beats", beats };
     colleagues.known().filter((id) => !ledger.members().includes(id)).forEach((id) => void colleagues.ask(id, message, STORE_WAIT_US));
     const [held, isHeard] = await Promise.all([ledger.gather(message, (reply) => reply.kind === "took", async () => true, STORE_WAIT_US), ledger.contact()]);
     return held.isOk && isHeard;
