--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -379,7 +379,7 @@
       }),
     );
     const { number, members, from } = ledger.roster();
-    return { holder: duty.holder(), term: duty.term(), here: duty.isHolder(), roster: { number, is: from.length > 0 ? "joint" : "simple", members, from }, boxes: rows };
+    return { holder: duty.holder(), term: duty.term(), here: duty.isHolder(), roster: { number, is: from.length > 0 ? "joint" : "simple", members, from }, boxes: rows.filter(({ isMember, seen }) => isMember === true || seen === true) };
   };
 
   /** Who takes what nodes report, at the duty's holder; the others pass it on. */
