Reads of objects, claims of keys and the way to the desk, in the same histories

Cause and change: a read of an object whose body stalled held all later readers of it until the copy's age was over; it now ends with its time and counts against the worker. A range past the end of a copy bore the seal of a worker that had answered 200; it bears none. A keyed order could begin so late that its claim no longer covered the key's window; it begins within 4 s of its claim or not at all. The fuzz loses and delays what is said to the desk.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -152,3 +152,35 @@
     Then the key is free
     When a keyed order's caller leaves, and then the worker's connection is reset
     Then the key is not free
+
+  Scenario Outline: A keyed order is sent only while its claim is sure to outlast the key's window
+    When a keyed order is turned away <seconds> s after its key was claimed
+    Then <count> workers saw it, and it is told 503
+    And the key is free
+
+    Examples:
+      | seconds | count |
+      | 1       | 2     |
+      | 5       | 1     |
+
+  Scenario Outline: A read of an object has a connection of its own, and what comes there must be its own too
+    Given a reader of objects and a worker that answers a read with <answer>
+    And another worker that has the object
+    When the object is read until the first worker was asked
+    Then the reader has the object, and the first worker is <known>
+    And no connection of a worker brought two reads
+
+    Examples:
+      | answer                                 | known       |
+      | a 503 with Not-Run and another's id    | still known |
+      | a 421 with another's id                | still known |
+      | a 200 with another's id                | still known |
+      | a 503 with Not-Run and no id           | still known |
+      | a 421 and no id                        | not known   |
+      | a large body that stalls               | still known |
+      | a large body cut short                 | still known |
+
+  Scenario: A range past the end of an object is the front's own failure, without a worker's seal
+    Given a reader of objects and a worker that has the object
+    When a range past its end is read
+    Then the reader is told 416 without a seal
--- a/features/steps/answers.ts
+++ b/features/steps/answers.ts
@@ -2,8 +2,17 @@
 import type { Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { RawCaller, type Told } from "../../fuzz/raw-caller.js";
-import { Rig } from "../../fuzz/rig.js";
+import { planOf, Rig, TRIES } from "../../fuzz/rig.js";
 import { answerOf, ScriptedWorker, type Arrival, type Script } from "../../fuzz/scripted-worker.js";
+import { Depots } from "../../src/goods/depots.js";
+import { Goods } from "../../src/goods/goods.js";
+import { Origin } from "../../src/goods/origin.js";
+import { RateShare } from "../../src/goods/rate.js";
+import { Chooser } from "../../src/traction/choose.js";
+import type { ObjectVerdict } from "../../src/traction/objects.js";
+import { RetryBudgets } from "../../src/traction/retry-budget.js";
+import { silentLog } from "../../src/trackbed/log.js";
+import { defaultLimits } from "../../src/trackbed/retry-limits.js";
 import { WORKER_PREFIX } from "../../src/signalling/board.js";
 import { settle } from "../support/manual-clock.js";
 
@@ -18,8 +27,8 @@
 const own = (arrival: Arrival, body = `ran ${arrival.tryId}`): string =>
   answerOf(200, { "Yewreel-Try-Id": arrival.tryId, "Yewreel-Server-Seal": `s.${arrival.worker}.${arrival.tryId}` }, body);
 
-const newRig = async (): Promise<void> => {
-  rig = new Rig();
+const newRig = async (plan = planOf()): Promise<void> => {
+  rig = new Rig({ plan });
   workers = [];
   await rig.start();
 };
@@ -390,3 +399,77 @@
 });
 Then("the key is free", () => assert.equal(rig.book.claims.size, 0));
 Then("the key is not free", () => assert.equal(rig.book.claims.size, 1));
+
+When("a keyed order is turned away {int} s after its key was claimed", async (seconds: number) => {
+  await newRig(planOf(TRIES, (kind) => kind, 20_000_000));
+  const script: Script = { onRequest: (arrival, socket) => void rig.clock.after(seconds * 1_000_000, () => socket.write(answerOf(503, { ...ID(arrival), ...NOT_RUN }))) };
+  for (const id of ["w1", "w2"]) await join(new ScriptedWorker(id, script));
+  told = await ask("POST", "/keyed/x", "an order", { "Yewreel-Operation-Key": "k", "Yewreel-Time-Left-Ms": "20000" });
+});
+Then("{int} worker(s) saw it, and it is told 503", (count: number) => assert.deepEqual([arrivalsOf(`t-${tries}`).length, told?.status], [count, 503]));
+
+const OBJECT = "o".repeat(300_000);
+const ODD_READS: Readonly<Record<string, (arrival: Arrival, socket: Socket) => void>> = {
+  "a 503 with Not-Run and another's id": (_arrival, socket) => void socket.write(answerOf(503, { "Yewreel-Try-Id": "somebody-else", ...NOT_RUN })),
+  "a 421 with another's id": (_arrival, socket) => void socket.write(answerOf(421, { "Yewreel-Try-Id": "somebody-else" })),
+  "a 200 with another's id": (arrival, socket) => void socket.write(own({ ...arrival, tryId: "somebody-else" })),
+  "a 503 with Not-Run and no id": (_arrival, socket) => void socket.write(answerOf(503, NOT_RUN)),
+  "a 421 and no id": (_arrival, socket) => void socket.write(answerOf(421, {})),
+  "a large body that stalls": (arrival, socket) => void socket.write(own(arrival, OBJECT).slice(0, -5)),
+  "a large body cut short": (arrival, socket) => void socket.end(own(arrival, OBJECT).slice(0, -5)),
+};
+let goods: Goods;
+let read: ObjectVerdict | undefined;
+
+const newReader = async (script: Script): Promise<void> => {
+  await newRig();
+  const { leaping: clock, yard } = rig;
+  const chooser = new Chooser({ yard, cell: "c1", random: Math.random, connectionShare: () => 10 });
+  const rate = new RateShare(clock, () => 0);
+  const budgets = new RetryBudgets({ clock, log: silentLog, windowUs: 10_000_000, limits: () => defaultLimits({ ratio: 100, slack: 0, windowUs: 10_000_000 }) });
+  const origin = new Origin({ clock, yard, chooser, rate, budgets, countFault: () => undefined, mostBytes: 1_000_000 });
+  goods = new Goods({ clock, roomBytes: 0, depots: new Depots(clock), halls: new Depots(clock), origin, rate, isFresh: () => true, slackUs: 0 });
+  await join(new ScriptedWorker("w1", script));
+};
+const readOnce = async (range?: string): Promise<ObjectVerdict> => {
+  let found: ObjectVerdict | undefined;
+  const nowUs = rig.leaping.nowUs();
+  void goods.fetch({ service: "s1", host: "a.example", url: `/safe/${tries}`, cacheForUs: 1, mostAgeUs: 1, aimUs: 500_000, untilUs: nowUs + 2_000_000 }, range).then((verdict) => {
+    found = verdict;
+  });
+  await rig.until(() => found !== undefined);
+  assert.ok(found);
+  return found;
+};
+
+Given(/^a reader of objects and a worker that answers a read with (.*)$/, async (odd: string) => {
+  const act = ODD_READS[odd];
+  assert.ok(act, `no such answer: ${odd}`);
+  await newReader({ onRequest: act });
+});
+Given(/^(a reader of objects and a worker|another worker) that has the object$/, async (who: string) => {
+  const script: Script = { onRequest: (arrival, socket) => void socket.write(own(arrival, OBJECT)) };
+  if (who === "another worker") await join(new ScriptedWorker("w2", script));
+  else await newReader(script);
+});
+When("the object is read until the first worker was asked", async () => {
+  for (let at = 0; at < 40 && first().arrivals.length === 0; at += 1) {
+    tries += 1;
+    read = await readOnce();
+  }
+  assert.ok(first().arrivals.length > 0, "the first worker was never asked");
+  tries += 1;
+  read = await readOnce();
+});
+Then(/^the reader has the object, and the first worker is (still|not) known$/, (known: string) => {
+  assert.ok(read?.kind === "served" && read.body.toString() === OBJECT, JSON.stringify(read).slice(0, 100));
+  assert.equal(rig.yard.all().some(({ id }) => id === "w1"), known === "still");
+});
+Then("no connection of a worker brought two reads", () => workers.flatMap(({ bytes }) => bytes).forEach((bytes) => assert.ok(bytes.split("GET ").length <= 2)));
+When("a range past its end is read", async () => {
+  read = await readOnce("bytes=300000-");
+});
+Then("the reader is told 416 without a seal", () => {
+  assert.ok(read?.kind === "served");
+  assert.deepEqual([read.status, read.heads.some((head) => head.toLowerCase() === "yewreel-server-seal")], [416, false]);
+});
--- a/fuzz/rig.ts
+++ b/fuzz/rig.ts
@@ -19,7 +19,7 @@
 export const GIVE_UP_US = 3_000_000;
 
 /** Routes "/safe/", "/unsafe/" and "/keyed/", all to the service "s1". */
-export const planOf = (tries = TRIES, kindOf: (kind: string) => string = (kind) => kind): string =>
+export const planOf = (tries = TRIES, kindOf: (kind: string) => string = (kind) => kind, giveUpUs = GIVE_UP_US): string =>
   JSON.stringify({
     putItems: {
       listeners: [
@@ -32,7 +32,7 @@
             rank: 1,
             version: 1,
             matchOn: { pathStart: `/${kind}/` },
-            then: { service: "s1", giveUp: `${GIVE_UP_US / 1_000}ms`, tries },
+            then: { service: "s1", giveUp: `${giveUpUs / 1_000}ms`, tries },
           })),
         },
       ],
@@ -43,10 +43,7 @@
 /** A desk of one book: who has which key, and what its run was answered with. */
 export class OneBook {
   readonly claims = new Map<string, { readonly token: string; answer: unknown }>();
-  isShut = false;
-
   readonly ask = async (message: Message): Promise<Message | undefined> => {
-    if (this.isShut) return undefined;
     const [key, token] = [String(message["key"]), String(message["token"])];
     const held = this.claims.get(key);
     if (message.kind === "key-done") {
@@ -85,7 +82,8 @@
   readonly random?: () => number;
   /** What the front goes by instead of the rig's leaping clock. */
   readonly clockOf?: (leaping: LeapingClock) => Clock;
-  readonly ask?: (message: Message) => Promise<Message | undefined>;
+  /** What stands between the front and its book of keys. */
+  readonly desk?: (book: OneBook, clock: Clock) => Pick<OneBook, "ask" | "tell">;
   readonly retryRatio?: number;
 }
 
@@ -106,8 +104,9 @@
   readonly retriesOf: (kind: RouteKind) => number;
 
   constructor(options: RigOptions = {}) {
-    const { clockOf, random = Math.random, retryRatio = 100, plan = planOf(), ask = this.book.ask } = options;
+    const { clockOf, random = Math.random, retryRatio = 100, plan = planOf() } = options;
     const clock = clockOf?.(this.leaping) ?? this.leaping;
+    const desk = options.desk?.(this.book, clock) ?? this.book;
     rigs += 1;
     this.host = `127.${64 + ((process.pid >> 8) % 64)}.${process.pid & 255}.${(rigs % 250) + 1}`;
     this.port = 12_000 + Math.floor(rigs / 250);
@@ -130,7 +129,7 @@
       countRollout: () => undefined,
       countCall: () => this.onCall(),
       random,
-      desk: new KeyDesk(clock, ask, this.book.tell),
+      desk: new KeyDesk(clock, desk.ask, desk.tell),
     });
     this.board.events.on("changed", (facts) => {
       table.take(facts);
--- a/fuzz/scenario.ts
+++ b/fuzz/scenario.ts
@@ -37,6 +37,10 @@
 
 export type Act = (typeof ACTS)[number];
 
+/** What becomes of what the front says to those who keep the keys. */
+export const DESK_ACTS = ["answered", "answered late", "lost on its way", "taken, and the reply lost"] as const;
+export type DeskAct = (typeof DESK_ACTS)[number];
+
 export interface WorkerPlan {
   /** One act a request, over and over. */
   readonly acts: readonly Act[];
@@ -65,6 +69,8 @@
 export interface Scenario {
   readonly workers: readonly WorkerPlan[];
   readonly callers: readonly CallerPlan[];
+  /** One act a message, over and over. */
+  readonly desk: readonly DeskAct[];
   /** The front stands still while everybody else goes on. */
   readonly standstills: readonly { readonly atMs: number; readonly spanMs: number }[];
 }
@@ -95,5 +101,6 @@
     }),
     { minLength: 2, maxLength: 8 },
   ),
+  desk: fc.array(fc.oneof({ weight: 2, arbitrary: fc.constant<DeskAct>("answered") }, { weight: 1, arbitrary: fc.constantFrom(...DESK_ACTS) }), { minLength: 1, maxLength: 5 }),
   standstills: fc.array(fc.record({ atMs: fc.integer({ min: 5, max: 2_500 }), spanMs: fc.integer({ min: 300, max: 4_000 }) }), { maxLength: 2 }),
 });
--- a/fuzz/variants.ts
+++ b/fuzz/variants.ts
@@ -17,7 +17,7 @@
   "what has run is promised not to have": { rig: {}, lies: { runsWhatItSheds: true }, noticedBy: "promised" },
   "bodies change on their way": { rig: {}, lies: { alters: true }, noticedBy: "asked" },
   "tries are not counted": { rig: { plan: planOf(TRIES + 2) }, lies: {}, noticedBy: "fewTries" },
-  "every claim of a key wins": { rig: { ask: async ({ kind }) => (kind === "key-claim" ? { kind: "claim", verdict: "won" } : { kind: "claim", kept: true }) }, lies: {}, noticedBy: "oneRunAKey" },
+  "every claim of a key wins": { rig: { desk: ({ tell }) => ({ tell, ask: async ({ kind }) => ({ kind: "claim", ...(kind === "key-claim" ? { verdict: "won" } : { kept: true }) }) }) }, lies: {}, noticedBy: "oneRunAKey" },
   "no time ever runs out": { rig: { clockOf: ({ nowUs }) => ({ nowUs, after: () => NEVER, every: () => NEVER }) }, lies: {}, noticedBy: "answered" },
   "callers leave and nobody notices": { rig: {}, lies: { leavesUnseen: true }, noticedBy: "inTime" },
   "calls are never ended": { rig: { clockOf: ({ nowUs }) => ({ nowUs, after: () => NEVER, every: () => NEVER }) }, lies: {}, noticedBy: "allClosed" },
--- a/fuzz/world.ts
+++ b/fuzz/world.ts
@@ -2,14 +2,17 @@
 import { settle } from "../features/support/manual-clock.js";
 import { digestOf, type Arrived, type History, type Produced, type Sent } from "./checks.js";
 import { RawCaller, requestOf } from "./raw-caller.js";
-import { HOST, Rig, type RigOptions } from "./rig.js";
-import type { Act, CallerPlan, RequestPlan, Scenario, WorkerPlan } from "./scenario.js";
+import { rest, type Clock } from "../src/trackbed/clock.js";
+import { HOST, Rig, type OneBook, type RigOptions } from "./rig.js";
+import type { Act, CallerPlan, DeskAct, RequestPlan, Scenario, WorkerPlan } from "./scenario.js";
 import { answerOf, ScriptedWorker, type Arrival } from "./scripted-worker.js";
 
 const MS = 1_000;
 const STEP_US = 10 * MS;
 const PATIENCE_US = 500 * MS;
 const LONGEST_US = 30_000 * MS;
+const DESK_LATE_US = 90 * MS;
+const DESK_LOST_US = 600 * MS;
 const LONG = "z".repeat(200_000);
 const LARGE = "y".repeat(400_000);
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -45,9 +48,26 @@
   private orders = 0;
 
   constructor(private readonly scenario: Scenario, options: RigOptions = {}, private readonly lies: Lies = {}) {
-    this.rig = new Rig(options);
+    this.rig = new Rig({ desk: this.desk, ...options });
   }
 
+  /** The book of keys is sound; the way to it is not. */
+  private readonly desk = (book: OneBook, clock: Clock): Pick<OneBook, "ask" | "tell"> => {
+    let said = 0;
+    const next = (): DeskAct => this.scenario.desk[said++ % this.scenario.desk.length] ?? "answered";
+    return {
+      ask: async (message) => {
+        const act = next();
+        const reply = act === "lost on its way" ? undefined : await book.ask(message);
+        if (act !== "answered") await rest(clock, act === "answered late" ? DESK_LATE_US : DESK_LOST_US);
+        return act === "answered" || act === "answered late" ? reply : undefined;
+      },
+      tell: (message) => {
+        if (next() !== "lost on its way") book.tell(message);
+      },
+    };
+  };
+
   readonly run = async (): Promise<History> => {
     const { rig, scenario } = this;
     const { leaping, clock } = rig;
--- a/src/goods/goods.ts
+++ b/src/goods/goods.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../trackbed/clock.js";
 import { isRec, text, whole, type Rec } from "../trackbed/shape.js";
+import { passOn, SEAL } from "../traction/heads.js";
 import type { ObjectRefusal, ObjectVerdict } from "../traction/objects.js";
 import { MS } from "../trackbed/span.js";
 import { Copies, keyOf, type Copy } from "./copies.js";
@@ -26,6 +27,8 @@
 const LARGE_BYTES = 32 * 1024;
 const SIZE_WEIGHT = 0.1;
 
+const SEALS: ReadonlySet<string> = new Set([SEAL]);
+
 type Got = { readonly copy: Copy; readonly cut: Cut; readonly size: number };
 
 const MOST_ROUNDS = 3;
@@ -141,7 +144,8 @@
 
   private readonly served = ({ copy, cut, size }: Got): ObjectVerdict => {
     if (cut.kind === "whole") return { kind: "served", status: copy.status, heads: copy.heads, body: copy.body };
-    if (cut.kind === "past") return { kind: "served", status: 416, heads: [...copy.heads, "Content-Range", `bytes */${size}`], body: Buffer.alloc(0) };
+    // No worker answered this with 416, so it bears no worker's seal.
+    if (cut.kind === "past") return { kind: "served", status: 416, heads: [...passOn(copy.heads, SEALS), "Content-Range", `bytes */${size}`], body: Buffer.alloc(0) };
     return { kind: "served", status: 206, heads: [...copy.heads, "Content-Range", `bytes ${cut.from}-${cut.to}/${size}`], body: copy.body };
   };
 }
--- a/src/goods/origin.ts
+++ b/src/goods/origin.ts
@@ -57,9 +57,10 @@
       if (verdict.kind !== "answered") continue;
       const { answer } = verdict;
       if (answer.status === 304 && old) return { kind: "found", copy: { ...old, bornUs: beganUs } };
-      const body = await within(clock, want.untilUs - clock.nowUs(), this.whole(answer), undefined);
-      if (!body) {
+      const body = await within(clock, want.untilUs - clock.nowUs(), this.whole(answer), "broken" as const);
+      if (!Buffer.isBuffer(body)) {
         answer.rest?.stop();
+        if (body === "broken") this.fault(worker);
         continue;
       }
       const copy = this.copyOf(want, answer, body, beganUs);
@@ -124,13 +125,18 @@
     }
     if (verdict.kind === "turned-away" && verdict.why === "other-worker") yard.misdirected(worker);
     const isOut = verdict.kind === "lost" || (verdict.kind === "unsent" && (verdict.why === "unreachable" || verdict.why === "refused"));
-    if (isOut) worker.shun();
-    countFault(worker.id, isOut);
+    if (isOut) this.fault(worker);
+    else countFault(worker.id, false);
     return verdict;
   };
 
-  /** All of the body, or undefined where it broke off or is too large. */
-  private readonly whole = (answer: Answer): Promise<Buffer | undefined> => {
+  private readonly fault = (worker: Worker): void => {
+    worker.shun();
+    this.options.countFault(worker.id, true);
+  };
+
+  /** All of the body, unless it broke off or is too large. */
+  private readonly whole = (answer: Answer): Promise<Buffer | "broken" | "too large"> => {
     const { rest: more, start } = answer;
     if (!more) return Promise.resolve(start);
     const chunks = [start];
@@ -142,7 +148,7 @@
           if (size <= this.options.mostBytes) chunks.push(chunk);
           return true;
         },
-        (isWhole) => resolve(isWhole && size <= this.options.mostBytes ? Buffer.concat(chunks) : undefined),
+        (isWhole) => resolve(!isWhole ? "broken" : size > this.options.mostBytes ? "too large" : Buffer.concat(chunks)),
       );
     });
   };
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -59,6 +59,8 @@
 const SILENCE_CHECK_US = 120 * MS;
 const CLAIM_PART = 5;
 const KEEP_PART = 0.5;
+/** Claims are kept 5 s and more beyond the window of their key, so a run begun this soon is covered for all of it. */
+const CLAIM_GOOD_US = 4 * SECOND;
 /** For how long after the time it was given a worker's last word on a keyed request is still waited for. */
 const KEYED_REST_US = 1 * SECOND;
 /** How many workers that can't be reached a request looks for beyond its tries. */
@@ -315,6 +317,7 @@
     const untilUs = Math.min(trip.arrivedUs + route.aimUs / CLAIM_PART, trip.budgetUs);
     let isTaken = false;
     for (let at = 0; desk && !trip.over && clock.nowUs() < untilUs; at += 1) {
+      const askedUs = clock.nowUs();
       const token = `${trip.tryId}.${at}.${random().toString(36).slice(2)}`;
       const verdict = await within(clock, untilUs - clock.nowUs(), desk.claim(key, token), { kind: "none" as const });
       if (verdict.kind === "won") {
@@ -322,7 +325,7 @@
           desk.free(key, token);
           return false;
         }
-        trip.claim = { key, token };
+        trip.claim = { key, token, askedUs };
         return true;
       }
       if (verdict.kind === "done") {
@@ -394,10 +397,12 @@
 
   /**
    * The last question before bytes leave for a worker. A connection may have come up only after the time was over, as
-   * when this node stood still meanwhile; a keyed request must still hold its claim.
+   * when this node stood still meanwhile; a keyed request must hold a claim that is not too old.
    */
   private readonly mayBegin = (trip: Trip, route: Route): boolean =>
-    !trip.over && !this.isPast(trip) && (route.kind !== "keyed" || trip.claim !== undefined) && trip.fate.begin(route.isSafe);
+    !trip.over && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && trip.fate.begin(route.isSafe);
+
+  private readonly isClaimed = ({ claim }: Trip): boolean => claim !== undefined && this.options.clock.nowUs() - claim.askedUs <= CLAIM_GOOD_US;
 
   /** Calls one worker; a safe request whose worker has fallen silent is sent to a second one beside it. */
   private readonly call = async (trip: Trip, route: Route, worker: Worker): Promise<CallVerdict> => {
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -51,5 +51,5 @@
    * The claim on its operation key, for keyed requests. Invariant: it is taken back only if nothing of the request was
    * ever sent to a worker that may have run it, and no request of a keyed route is sent to a worker without one.
    */
-  claim: { readonly key: string; readonly token: string } | undefined;
+  claim: { readonly key: string; readonly token: string; readonly askedUs: number } | undefined;
 }
