--- a/src/traction/heads.ts
+++ b/src/traction/heads.ts
@@ -22,24 +22,19 @@
   "upgrade",
 ]);
 
-const pairs = (heads: FlatHeads): readonly (readonly [string, string])[] => {
-  const found: [string, string][] = [];
-  for (let at = 0; at + 1 < heads.length; at += 2) found.push([heads[at] ?? "", heads[at + 1] ?? ""]);
-  return found;
-};
-
 /** All heads but those of one connection, those that Connection names, and the given ones. */
 export const passOn = (heads: FlatHeads, without: ReadonlySet<string>): string[] => {
-  const all = pairs(heads);
-  const named = new Set(
-    all.filter(([name]) => name.toLowerCase() === "connection").flatMap(([, value]) => value.split(",").map((token) => token.trim().toLowerCase())),
-  );
-  return all
-    .filter(([name]) => {
-      const lower = name.toLowerCase();
-      return !OF_ONE_CONNECTION.has(lower) && !named.has(lower) && !without.has(lower);
-    })
-    .flatMap(([name, value]) => [name, value]);
+  const named = new Set<string>();
+  for (let at = 0; at + 1 < heads.length; at += 2) {
+    if (isNamed(heads[at], "connection")) heads[at + 1]?.split(",").forEach((token) => named.add(token.trim().toLowerCase()));
+  }
+  const passed: string[] = [];
+  for (let at = 0; at + 1 < heads.length; at += 2) {
+    const [name, value] = [heads[at] ?? "", heads[at + 1] ?? ""];
+    const lower = name.toLowerCase();
+    if (!OF_ONE_CONNECTION.has(lower) && !named.has(lower) && !without.has(lower)) passed.push(name, value);
+  }
+  return passed;
 };
 
 /** The first value under a name, which is given in small letters. */
