--- a/features/answers.feature
+++ b/features/answers.feature
@@ -64,6 +64,7 @@
       | an unknown transfer coding                        | 502  | by the front         | once                |
       | two lengths                                       | 502  | by the front         | once                |
       | a 204 with a length and a body                    | 502  | by the front         | once                |
+      | a 304 with a length                               | 502  | by the front         | once                |
       | a 100 that nobody asked for                       | 502  | by the front         | once                |
       | a 101                                             | 502  | by the front         | once                |
       | a head that is too large                          | 502  | by the front         | once                |
--- a/features/steps/answers.ts
+++ b/features/steps/answers.ts
@@ -131,6 +131,7 @@
   "an unknown transfer coding": (arrival, socket) => void socket.end(answerOf(200, { ...SEALED(arrival), "Content-Length": undefined, "Transfer-Encoding": "gzip" }, "all of it?")),
   "two lengths": (arrival, socket) => void socket.write(own(arrival).replace("Content-Length", "Content-Length: 3\r\nContent-Length")),
   "a 204 with a length and a body": (arrival, socket) => void socket.write(answerOf(204, SEALED(arrival), "a body")),
+  "a 304 with a length": (arrival, socket) => void socket.write(answerOf(304, { ...SEALED(arrival), "Content-Length": "9" })),
   "a 100 that nobody asked for": (arrival, socket) => void socket.write(`HTTP/1.1 100 Continue\r\n\r\n${own(arrival)}`),
   "a 101": (arrival, socket) => void socket.write(`HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n${own(arrival)}`),
   "a head that is too large": (arrival, socket) => void socket.write(own(arrival).replace("Content-Length", `X-Large: ${"x".repeat(70_000)}\r\nContent-Length`)),
