--- a/features/answers.feature
+++ b/features/answers.feature
@@ -110,10 +110,12 @@
     Then the order's caller is told 400 by the front
     And no worker saw an order
 
-  Scenario: A method that can't be written, or bytes that can't be, count against no worker
+  Scenario: An unusual method is passed on, and a request that can't be written counts against no worker
     Given a front and a worker that keeps its connections
     When a caller sends a request of the method "PROPFIND"
     Then the worker saw the method "PROPFIND"
+    When a caller sends a request with two hosts
+    Then the order's caller is told 400 by the front
     And no worker is shunned
 
   Scenario: Two requests without waiting, and a reset between: nothing is left behind
--- a/features/steps/answers.ts
+++ b/features/steps/answers.ts
@@ -274,6 +274,14 @@
   told = await ask(method, "/safe/x");
 });
 Then("the worker saw the method {string}", (method: string) => assert.deepEqual(first().arrivals.map((arrival) => arrival.method), [method]));
+When("a caller sends a request with two hosts", async () => {
+  caller = new RawCaller(rig.host, rig.port);
+  caller.expect("GET");
+  caller.write("GET /safe/x HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\nYewreel-Try-Id: t-hosts\r\nYewreel-Time-Left-Ms: 2000\r\n\r\n");
+  await rig.until(() => caller?.told.length === 1 || caller?.isClosed === true);
+  told = caller.told[0];
+  caller.socket.destroy();
+});
 Then("no worker is shunned", () => assert.deepEqual(rig.yard.all().filter((worker) => worker.isShunned()), []));
 
 Given("the first worker is silent", () => {
