--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -400,7 +400,7 @@
    * when this node stood still meanwhile; a keyed request must hold a claim that is not too old.
    */
   private readonly mayBegin = (trip: Trip, route: Route): boolean =>
-    !trip.over && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && trip.fate.begin(route.isSafe);
+    !trip.over && !isBehindClose(trip) && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && trip.fate.begin(route.isSafe);
 
   private readonly isClaimed = ({ claim }: Trip): boolean => claim !== undefined && this.options.clock.nowUs() - claim.askedUs <= CLAIM_GOOD_US;
 
