--- a/features/steps/simulator.ts
+++ b/features/steps/simulator.ts
@@ -34,7 +34,7 @@
     { atUs: strikeUs, kind: "all", byPower: true, wiped: harm === "wiped" ? [1] : [], spoiled: harm === "spoiled" ? [1] : [], downUs: [1 * SECOND, 50 * MS, 50 * MS] },
     ...Array.from({ length: 24 }, (_none, at): Event => ({ atUs: strikeUs + at * 50 * MS, kind: "read", slot: 1 + (at % 2) })),
   ];
-  return { seed, deployment: "small", beyond: false, events, calmUs: 7 * SECOND };
+  return { seed, deployment: "small", beyond: false, padBytes: 0, events, calmUs: 7 * SECOND };
 };
 
 Before(() => {
--- a/simulator/play.ts
+++ b/simulator/play.ts
@@ -43,6 +43,7 @@
   const chance = new Chance(schedule.seed ^ 0x5bd1e995);
   const history = new History();
   const machines: Machine[] = [];
+  const pad = " ".repeat(schedule.padBytes);
   const boxOf = (id: string): Box | undefined => {
     const box = machines.find((machine) => machine.id === id)?.box;
     return box?.isAlive === true ? box : undefined;
@@ -118,7 +119,7 @@
       world.after(chance.whole(300, 3_000), () => box.run(() => void call().then((value) => resolve(value), reject)));
     });
   const orderOf = (id: number, parts: readonly { readonly key: string; readonly version: number; readonly body: string }[]): readonly Register[] => {
-    const registers = parts.map(({ key, version, body }) => makeRegister(key, version, body, body === ""));
+    const registers = parts.map(({ key, version, body }) => makeRegister(key, version, body === "" ? "" : body + pad, body === ""));
     history.orders.set(id, registers);
     return registers;
   };
--- a/simulator/schedule.ts
+++ b/simulator/schedule.ts
@@ -47,6 +47,8 @@
   /** Whether more may be lost at once than the deployment withstands; then nothing is promised about being served. */
   readonly beyond: boolean;
   readonly events: readonly Event[];
+  /** Blanks after each body; with many, readings come in pieces and snapshots are due often. */
+  readonly padBytes: number;
   /** When the last trouble is over. */
   readonly calmUs: number;
 }
@@ -71,6 +73,7 @@
 const KINDS = ["kill", "kill", "power", "power", "wipe", "wipe", "spoil", "spoil", "freeze", "freeze", "cut", "cut", "disk", "replace", "replace", "succeed", "all", "noise"] as const;
 /** A cut as short as this only makes what is sent late or, where an end is killed, lost; nobody counts as lost by it. */
 const HINDRANCE_US = 20 * MS;
+const PAD_BYTES = 12_000;
 const LATEST_CALM_US = 40 * SECOND;
 export type TroubleKind = (typeof KINDS)[number];
 export const troubleKind = (name: string): TroubleKind | undefined => KINDS.find((kind) => kind === name);
@@ -240,5 +243,6 @@
   const size = deploymentOf(deployment);
   const orders = ordersOf(chance.fork(), size, LATEST_CALM_US).sort((one, other) => one.atUs - other.atUs);
   const { events, calmUs } = troublesOf(chance.fork(), size, terms, orders);
-  return { seed, deployment, beyond: terms.beyond, calmUs, events: [...events, ...orders.filter(({ atUs }) => atUs < calmUs)].sort((one, other) => one.atUs - other.atUs) };
+  const padBytes = chance.hits(0.15) ? PAD_BYTES : 0;
+  return { seed, deployment, beyond: terms.beyond, padBytes, calmUs, events: [...events, ...orders.filter(({ atUs }) => atUs < calmUs)].sort((one, other) => one.atUs - other.atUs) };
 };
