--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -126,8 +126,8 @@
   private readonly life: string;
   /** What has changed and is not yet on its way to the disk. */
   private unsaved: readonly Rec[] = [];
-  /** What the disk refused is only safe again with the whole state. */
-  private mustKeepWhole = false;
+  /** Whether the archive still holds what the disk refused; it goes with what is kept next, be that nothing. */
+  private wasRefused = false;
   private keeping: Promise<boolean> | undefined;
   private whyNot = "it has not started";
   private readonly readings: Together<undefined, Result<void, LedgerMishap>>;
@@ -195,10 +195,13 @@
       this.whyNot = loaded.why;
       log.warn(`This copy does not count until it has caught up: ${loaded.why}.`);
     } else if (loaded.kind === "empty" && firstRun && seeds.includes(self)) {
-      this.note(this.copy.takeRoster({ number: 1, members: [...seeds].sort(), from: [] }));
-      this.note(this.copy.setCounting());
-      await this.safe();
-      await archive.keepWhole();
+      this.copy.takeRoster({ number: 1, members: [...seeds].sort(), from: [] });
+      this.copy.setCounting();
+      // One file holds all of it: a first start that is cut short leaves either nothing or the whole.
+      if ((await archive.keepWhole()).isErr) {
+        this.copy.doubt();
+        this.whyNot = "its disk refused the first state";
+      }
     } else if (this.isCounting && !this.isMember()) {
       this.copy.doubt();
       this.whyNot = "it is not on the roster";
@@ -208,15 +211,14 @@
   /** Resolves to true once everything noted before the call is safe on this machine's disk. */
   readonly safe = (): Promise<boolean> => {
     const earlier = this.keeping;
-    if (this.unsaved.length === 0 && !this.mustKeepWhole) return earlier ?? Promise.resolve(true);
+    if (this.unsaved.length === 0 && !this.wasRefused) return earlier ?? Promise.resolve(true);
     const { archive, log } = this.options;
     const records = this.unsaved;
-    const isWhole = this.mustKeepWhole;
     this.unsaved = [];
-    this.mustKeepWhole = false;
-    const mine = (isWhole ? archive.keepWhole() : archive.keep(records)).then((kept) => {
+    this.wasRefused = false;
+    const mine = archive.keep(records).then((kept) => {
       if (kept.isErr) {
-        this.mustKeepWhole = true;
+        this.wasRefused = true;
         log.warn(`The disk refused a version: ${kept.error.sentence}.`);
       }
       return kept.isOk;
--- a/src/interlocking/segments.ts
+++ b/src/interlocking/segments.ts
@@ -1,9 +1,10 @@
-import { mkdir, open, readdir, readFile, rm, type FileHandle } from "node:fs/promises";
+import { open, readdir, readFile, rm, type FileHandle } from "node:fs/promises";
 import { join } from "node:path";
 import { crc32 } from "node:zlib";
 import { err, ok, type Result } from "true-myth/result";
 import type { Clock } from "../trackbed/clock.js";
 import { packValue, unpackValue } from "../trackbed/wire.js";
+import { FileDisk } from "./disk.js";
 import { Together } from "./together.js";
 
 export type SegmentMishap = { readonly kind: "disk" | "full"; readonly sentence: string };
@@ -82,7 +83,7 @@
     const { folder, clock } = this.options;
     if (folder === "") return undefined;
     try {
-      await mkdir(folder, { recursive: true });
+      await new FileDisk().makeFolder(folder);
       const numbers = (await readdir(folder)).map((name) => Number(NAME.exec(name)?.[1] ?? 0)).filter((number) => number > 0).sort((a, b) => a - b);
       const records: unknown[] = [];
       for (const number of numbers) {
