An order is not confirmed where what it names could not be looked up

Cause: problemNow called an order unproblematic when the reading that should confirm an unknown name failed, so the order was offered and confirmed.

--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -408,8 +408,7 @@
         if (applied.kind === "forgotten") mishap ??= { kind: "unclear", sentence: `what ${order.key} was at version ${order.version} is no longer known` };
       });
       if (!mishap && !isSeen && !wasOffered) {
-        const sentence = await this.problemNow(problemOf, stands);
-        if (sentence !== undefined) mishap = { kind: "invalid", sentence };
+        mishap = await this.problemNow(problemOf, stands);
       }
       if (mishap) {
         const isRefusal = mishap.kind === "conflict" || mishap.kind === "invalid";
@@ -445,11 +444,13 @@
     return done.map(() => result);
   };
 
-  private readonly problemNow = async (problemOf: ((get: (key: string) => Register | undefined) => string | undefined) | undefined, stands: ReadonlyMap<string, Content>): Promise<string | undefined> => {
+  private readonly problemNow = async (problemOf: ((get: (key: string) => Register | undefined) => string | undefined) | undefined, stands: ReadonlyMap<string, Content>): Promise<LedgerMishap | undefined> => {
     const look = () => problemOf?.((key) => stands.get(key) ?? this.get(key));
     if (look() === undefined) return undefined;
-    // This copy may be old: nothing is called unknown before a quorum was read.
-    return (await this.read()).isOk ? look() : undefined;
+    // This copy may be old: nothing is called unknown, nor let pass, before a quorum was read.
+    if ((await this.read()).isErr) return { kind: "unclear", sentence: "no quorum could be read for what the order names" };
+    const sentence = look();
+    return sentence === undefined ? undefined : { kind: "invalid", sentence };
   };
 
   private readonly tryOften = async (work: () => Promise<Result<void, Setback>>): Promise<Result<void, LedgerMishap>> => {
