--- a/features/simulator.feature
+++ b/features/simulator.feature
@@ -29,6 +29,7 @@
       | a read asks nobody                                   | kill     | linearizable |
       | what was agreed under earlier numbers is forgotten   | kill     | refused      |
       | only the first item of an order is offered           | kill     | whole        |
+      | an order is taken without a look at what it names    | kill     | refused      |
       | a term is not looked at                              | freeze   | terms        |
       | contact is taken for granted                         | freeze   | contact      |
       | the roster only grows                                | replace  | roster       |
--- a/features/support/broken-boxes.ts
+++ b/features/support/broken-boxes.ts
@@ -65,6 +65,7 @@
     },
   })),
   "only the first item of an order is offered": ledgerWith((real) => ({ offer: (call, problemOf) => real.offer(call.slice(0, 1), problemOf) })),
+  "an order is taken without a look at what it names": ledgerWith((real) => ({ offer: (call) => real.offer(call) })),
   "a term is not looked at": ledgerWith(() => ({ isOvertaken: () => false })),
   "contact is taken for granted": ledgerWith(() => ({ contact: async () => true })),
   "the roster only grows": ledgerWith((real) => ({ changeMembers: (change, moveMore) => real.changeMembers((members) => [...new Set([...members, ...change(members)])], moveMore) })),
--- a/simulator/checks.ts
+++ b/simulator/checks.ts
@@ -46,7 +46,7 @@
   return undefined;
 };
 
-/** What was refused is never in force, and what was confirmed is never refused. */
+/** What was refused, or can't be valid, is never in force, and what was confirmed is never refused. */
 const refused: Check = (outcome) => {
   const { history } = outcome;
   const carriers = carriersOf(outcome);
@@ -60,6 +60,11 @@
   for (const [order, attempts] of byOrder) {
     const registers = (history.orders.get(order) ?? []).filter(({ digest }) => carriers.get(digest)?.size === 1);
     const taken = attempts.filter(isAcknowledged);
+    if (history.hopeless.has(order)) {
+      const inspite = registers.find(({ digest }) => seen.has(digest));
+      if (taken[0]) return `order ${order} can never be valid, and was confirmed by ${taken[0].box} at ${seconds(taken[0].toUs)}`;
+      if (inspite) return `order ${order} can never be valid, and its ${nameOf(inspite)} was in force: ${seen.get(inspite.digest)?.where}`;
+    }
     for (const refusal of attempts.filter(({ result }) => result === "conflict" || result === "invalid")) {
       const said = `order ${order} was refused (${refusal.result}) by ${refusal.box} at ${seconds(refusal.toUs)}`;
       const before = taken.find(({ toUs }) => refusal.result === "conflict" || toUs < refusal.fromUs);
--- a/simulator/history.ts
+++ b/simulator/history.ts
@@ -56,6 +56,8 @@
 export class History {
   /** The orders by their ids. */
   readonly orders = new Map<number, readonly Register[]>();
+  /** Those that can never be valid. */
+  readonly hopeless = new Set<number>();
   readonly attempts: Attempt[] = [];
   readonly reads: Read[] = [];
   readonly told: Told[] = [];
--- a/simulator/play.ts
+++ b/simulator/play.ts
@@ -5,7 +5,7 @@
 import { SimDisk } from "./disk.js";
 import { History, type Call } from "./history.js";
 import { CALM, Net } from "./net.js";
-import { CATCH_UP_US, deploymentOf, EMPTY_COMES_US, GRACE_US, SUCCESSOR_UP_US, type Event, type Schedule, type Way } from "./schedule.js";
+import { CATCH_UP_US, deploymentOf, EMPTY_COMES_US, GRACE_US, NEVER, SUCCESSOR_UP_US, type Event, type Schedule, type Way } from "./schedule.js";
 import { World } from "./world.js";
 
 interface Machine {
@@ -139,6 +139,7 @@
     switch (event.kind) {
       case "order":
         needsOf.set(event.id, event.needs);
+        if (event.needs === NEVER) history.hopeless.add(event.id);
         void send(event.id, orderOf(event.id, event.parts), event.needs, event.slot, world.nowUs() + GIVE_UP_US, event.lostAnswers);
         break;
       case "resend": {
--- a/simulator/schedule.ts
+++ b/simulator/schedule.ts
@@ -73,6 +73,8 @@
 const KINDS = ["kill", "kill", "power", "power", "wipe", "wipe", "spoil", "spoil", "freeze", "freeze", "cut", "cut", "disk", "replace", "replace", "succeed", "all", "noise"] as const;
 /** A cut as short as this only makes what is sent late or, where an end is killed, lost; nobody counts as lost by it. */
 const HINDRANCE_US = 20 * MS;
+/** An item that never stands, so that orders that need it are never valid. */
+export const NEVER = "service/never";
 const PAD_BYTES = 12_000;
 const LATEST_CALM_US = 40 * SECOND;
 export type TroubleKind = (typeof KINDS)[number];
@@ -208,9 +210,11 @@
   const events: Event[] = [];
   const newest = new Map<string, number>();
   let id = 0;
+  /** An item that an order names a second time: as it was, with another body, or under another number. */
+  const again = (part: Part): Part => chance.pick([part, { ...part, body: `{"order":${id + 1},"again":1}` }, { ...part, version: part.version + 1, body: `{"order":${id + 1},"again":1}` }]);
   const orderAt = (atUs: number, parts: readonly Part[]): void => {
     id += 1;
-    events.push({ atUs, kind: "order", id, slot: chance.whole(0, boxes - 1), parts, needs: chance.hits(0.08) ? "service/e" : "", lostAnswers: chance.hits(0.3) ? 0.5 : 0 });
+    events.push({ atUs, kind: "order", id, slot: chance.whole(0, boxes - 1), parts, needs: chance.hits(0.15) ? chance.pick(["service/e", NEVER]) : "", lostAnswers: chance.hits(0.3) ? 0.5 : 0 });
     while (chance.hits(0.25)) events.push({ atUs: atUs + chance.whole(50 * MS, 12 * SECOND), kind: "resend", id, slot: chance.whole(0, boxes - 1) });
   };
   let atUs = 500 * MS;
@@ -225,7 +229,7 @@
         newest.set(key, Math.max(before, version));
         return { key, version, body: chance.hits(0.06) ? "" : `{"order":${id + 1}}` };
       });
-      orderAt(atUs, parts);
+      orderAt(atUs, chance.hits(0.1) ? [...parts, again(chance.pick(parts))] : parts);
       // A rival puts another body under one of these numbers at the same moment.
       if (chance.hits(0.25)) {
         const rivals = parts.filter(() => chance.hits(0.6));
