--- a/simulator/box.ts
+++ b/simulator/box.ts
@@ -68,7 +68,6 @@
   private isFrozen = false;
   private backlog: (() => void)[] = [];
   private hasMended = false;
-  private isSweeping = false;
   private readonly heard = new Map<Box, number>();
   private readonly echoed = new Map<string, number>();
 
@@ -100,8 +99,9 @@
     const { firstRun, seeds, history, world } = this.options;
     this.ledger.events.on("settled", (registers) => {
       history.told.push({ atUs: world.nowUs(), box: this.id, registers });
-      this.learn(this.ledger.members());
     });
+    this.ledger.events.on("roster", () => this.learn(this.ledger.members()));
+    this.ledger.events.on("behind", () => void this.sweep());
     await this.ledger.start(firstRun);
     this.isListening = true;
     this.learn([...seeds, ...this.ledger.members()]);
@@ -192,11 +192,9 @@
   };
 
   private readonly sweep = async (): Promise<void> => {
-    if (this.isSweeping) return;
-    this.isSweeping = true;
     const read = await this.ledger.read();
     if (read.isOk && this.ledger.isCounting) this.hasMended = true;
-    this.isSweeping = false;
+    else await this.ledger.contact();
   };
 
   /** What a holder does: a change of a register under its term. */
