--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,7 +22,7 @@
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
-      parserOptions: { project: ["./tsconfig.json", "./features/tsconfig.json", "./testtrack/tsconfig.json", "./fuzz/tsconfig.json", "./hunts/tsconfig.json"], tsconfigRootDir: import.meta.dirname },
+      parserOptions: { project: ["./tsconfig.json", "./features/tsconfig.json", "./testtrack/tsconfig.json", "./fuzz/tsconfig.json", "./simulator/tsconfig.json", "./hunts/tsconfig.json"], tsconfigRootDir: import.meta.dirname },
     },
     rules: {
       "no-restricted-syntax": ["error", ...arrowsOnly],
