--- a/fuzz/world.ts
+++ b/fuzz/world.ts
@@ -85,8 +85,7 @@
       const next = standstills[0];
       if (!next || leaping.nowUs() < startUs + next.atMs * MS) continue;
       standstills.shift();
-      // What left before the standstill arrives before it.
-      await settle(20);
+      await this.settleAll();
       this.standStill(next.spanMs * MS);
     }
     const leftOpen = async (): Promise<number> => {
@@ -103,6 +102,15 @@
     return { sent, arrived, produced, heads, broken, leftOpen: left };
   };
 
+  /** What has left arrives, and what follows from it at this same time. */
+  private readonly settleAll = async (): Promise<void> => {
+    const seen = () => this.heads.length + this.arrived.length + this.callers.reduce((sum, { told }) => sum + told.length, 0);
+    for (let before = -1; before !== seen(); ) {
+      before = seen();
+      await settle(20);
+    }
+  };
+
   private readonly newOrder = (): string => `o-${(this.orders += 1)}`;
 
   private readonly after = (waitMs: number, act: () => void): void => {
