An order is checked for what it names unless all of it was taken before

Cause: one item that stood already, by another order's word, made the whole call count as taken before, so that its new items were put in force without a look at the service that they name. Change: only a call of which every item is known skips the check.

--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -398,16 +398,16 @@
       const stands = new Map(keys.map((key): readonly [string, Content] => [key, this.contentOf(attempt.value, key)]));
       const next = new Map(stands);
       let mishap: LedgerMishap | undefined;
-      let isSeen = false;
+      // By what stood before: a call may name an item twice. One known item may be another order's; an order taken before has all.
+      const known = call.filter((order) => applyOrder(stands.get(order.key), order).kind === "known").length;
+      const isSeen = known > 0;
       call.forEach((order) => {
         const applied = applyOrder(next.get(order.key), order);
-        // By what stood before: a call may name an item twice.
-        if (applyOrder(stands.get(order.key), order).kind === "known") isSeen = true;
         if (applied.kind === "fits") next.set(order.key, applied.next);
         if (applied.kind === "conflict") mishap ??= { kind: "conflict", key: order.key, version: order.version };
         if (applied.kind === "forgotten") mishap ??= { kind: "unclear", sentence: `what ${order.key} was at version ${order.version} is no longer known` };
       });
-      if (!mishap && !isSeen && !wasOffered) {
+      if (!mishap && known < call.length && !wasOffered) {
         mishap = await this.problemNow(problemOf, stands);
       }
       if (mishap) {
