--- a/simulator/box.ts
+++ b/simulator/box.ts
@@ -81,7 +81,7 @@
       self: id,
       archive,
       copy,
-      seeds: () => seeds,
+      seeds: () => [...new Set([...seeds, ...this.links.keys()])],
       asker: { ask: this.ask, send: this.tell },
       clock: this.clock,
       random: chance.share,
