--- /dev/null
+++ b/cucumber.known-red.js
@@ -0,0 +1,3 @@
+import all from "./cucumber.js";
+
+export default { ...all, tags: "@known-red" };
--- a/features/steps/plan.ts
+++ b/features/steps/plan.ts
@@ -120,6 +120,31 @@
   copies.deaf = () => false;
 });
 
+When("only box 1 has accepted routes {string} and {string} at version {int}", async (one: string, other: string, version: number) => {
+  copies.deaf = (to, message) => message.kind === "accept" && to !== box(1);
+  const call = [one, other].map((name) => makeRegister(key(name), version, `{"of":"the first order"}`));
+  const done = await copies.beside(copies.copy(box(1)).ledger.offer(call));
+  copies.deaf = () => false;
+  assert.ok(done.isErr && done.error.kind !== "conflict" && done.error.kind !== "invalid");
+});
+
+When("a rival of route {string} at version {int} is taken while box 1 is cut off", async (name: string, version: number) => {
+  copies.cut.add(box(1));
+  assert.equal(await offer(name, version, box(2), '{"of":"the rival"}'), "taken");
+  copies.cut.delete(box(1));
+});
+
+When("every box has read", async () => {
+  await copies.readAll();
+  await copies.readAll();
+});
+
+Then("neither or both of routes {string} and {string} stand as that order had them", (one: string, other: string) => {
+  const { ledger } = copies.copy(box(2));
+  const stands = [one, other].map((name) => ledger.get(key(name))?.body === '{"of":"the first order"}');
+  assert.equal(stands[0], stands[1], `${one}: ${stands[0]}, ${other}: ${stands[1]}`);
+});
+
 Then("no box has ever shown route {string}", (name: string) => {
   copies.running.forEach(({ ledger }) => assert.equal(ledger.get(key(name)), undefined));
 });
--- a/testtrack/orders.ts
+++ b/testtrack/orders.ts
@@ -1,9 +1,10 @@
 import { mkdtemp, readdir, rm, stat, writeFile } from "node:fs/promises";
+import { get } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Command } from "commander";
 import { quantileSorted } from "simple-statistics";
-import { rest, SteadyClock } from "../src/trackbed/clock.js";
+import { rest, SteadyClock, type Pulse } from "../src/trackbed/clock.js";
 import { asRec, numberOf, type Rec } from "../src/trackbed/shape.js";
 import { MS, SECOND } from "../src/trackbed/span.js";
 import { Host, post, ruleOf, until } from "./host-control.js";
@@ -39,14 +40,21 @@
 
 const round = (value: number): number => Math.round(value * 1_000) / 1_000;
 
+const planOf = (routes: number): Rec => ({
+  putItems: {
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerWait: "3000ms", idle: "15000ms", version: 1 },
+    listeners: [{ host: "track.example", rules: Array.from({ length: routes }, (_none, at) => ruleOf(`r-${at}`, 1, "s0")) }],
+    groups: [{ name: "s0", statusPath: "/health", maxConnections: 100, version: 1 }],
+  },
+  remove: { routes: [] },
+});
+
 const measure = async (count: number, orders: number, routes: number, seconds: number): Promise<Rec> => {
   const folder = await mkdtemp(join(tmpdir(), "testtrack-"));
   const boxes = Array.from({ length: count }, () => new Host(300));
   try {
     await Promise.all(boxes.map((box, at) => box.ask({ what: "box", at, boxes: count, folder: join(folder, String(at)) })));
-    const rules = Array.from({ length: routes }, (_none, at) => ruleOf(`r-${at}`, 1, "s0"));
-    const plan = { putItems: { limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerWait: "3000ms", idle: "15000ms", version: 1 }, listeners: [{ host: "track.example", rules }], groups: [{ name: "s0", statusPath: "/health", maxConnections: 100, version: 1 }] }, remove: { routes: [] } };
-    await until("the plan is taken", async () => (await post(boxAddress(0), "/plan/change", JSON.stringify(plan))) === 200);
+    await until("the plan is taken", async () => (await post(boxAddress(0), "/plan/change", JSON.stringify(planOf(routes)))) === 200);
     await rest(clock, 6 * SECOND);
     const idleFrom = await look(boxes);
     await rest(clock, seconds * SECOND);
@@ -79,6 +87,48 @@
   }
 };
 
+const readPlan = (address: string): Promise<string> =>
+  new Promise((resolve) => {
+    const call = get(`http://${address}/plan/read`, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("end", () => resolve(response.statusCode === 200 ? Buffer.concat(chunks).toString() : ""));
+      response.on("error", () => resolve(""));
+    });
+    call.on("error", () => resolve(""));
+  });
+
+/** A signalbox is down over many changes, with its disk kept or lost; how long it takes to hold them while two more come each second. */
+const catchUp = async (orders: number, routes: number, isWiped: boolean): Promise<Rec> => {
+  const folder = await mkdtemp(join(tmpdir(), "testtrack-"));
+  const boxes = Array.from({ length: 4 }, () => new Host(300));
+  const last = 3;
+  let pulse: Pulse | undefined;
+  const startBox = (box: Host, at: number) => box.ask({ what: "box", at, boxes: 4, folder: join(folder, String(at)) });
+  const change = (version: number) => post(boxAddress(0), "/plan/change", JSON.stringify({ putItems: { listeners: [{ host: "track.example", rules: [ruleOf(`r-${version % routes}`, version, "s0")] }] }, remove: { routes: [] } }));
+  try {
+    await Promise.all(boxes.map(startBox));
+    await until("the plan is taken", async () => (await post(boxAddress(0), "/plan/change", JSON.stringify(planOf(routes)))) === 200);
+    await until("the last one holds it", async () => (await readPlan(boxAddress(last))).includes(`"r-${routes - 1}"`));
+    boxes[last]?.end();
+    if (isWiped) await rm(join(folder, String(last)), { recursive: true, force: true });
+    for (let at = 0; at < orders; at += 1) await until("the change is taken", async () => (await change(2 + at)) === 200);
+    let version = 2 + orders;
+    pulse = clock.every(SECOND / 2, () => void change((version += 1)));
+    const back = new Host(300);
+    boxes[last] = back;
+    const fromUs = machineUs();
+    await startBox(back, last);
+    const upUs = machineUs() - fromUs;
+    await until("it holds all", async () => (await readPlan(boxAddress(last))).includes(`"version":${1 + orders}`));
+    return { orders, routes, isWiped, processUpMs: round(upUs / MS), heldAllMs: round((machineUs() - fromUs) / MS) };
+  } finally {
+    pulse?.stop();
+    boxes.forEach((box) => box.end());
+    await rm(folder, { recursive: true, force: true });
+  }
+};
+
 const main = async (): Promise<void> => {
   const cli = new Command("orders").description("measures what an operator's order costs the control side, over loopback");
   cli
@@ -86,12 +136,16 @@
     .option("--orders <n>", "orders, one after the other, through each box in turn", "200")
     .option("--routes <n>", "routes that stand", "1400")
     .option("--seconds <n>", "for how long it is measured at rest", "10")
+    .option("--down", "measures instead how a signalbox that was down over these orders catches up, with its disk and without")
     .option("--commit <id>", "the commit that is measured", "")
     .option("--out <file>", "where the result is written")
-    .action(async (options: Readonly<Record<string, string>>) => {
-      const result = { commit: options["commit"], node: process.version, ...(await measure(Number(options["boxes"]), Number(options["orders"]), Number(options["routes"]), Number(options["seconds"]))) };
+    .action(async (options: Readonly<Record<string, string | true>>) => {
+      const given = (name: string) => Number(options[name]);
+      const [orders, routes] = [given("orders"), given("routes")];
+      const measured = options["down"] === true ? { down: [await catchUp(orders, routes, false), await catchUp(orders, routes, true)] } : await measure(given("boxes"), orders, routes, given("seconds"));
+      const result = { commit: options["commit"], node: process.version, ...measured };
       process.stdout.write(`${JSON.stringify(result)}\n`);
-      if (options["out"] !== undefined) await writeFile(options["out"], `${JSON.stringify(result, undefined, 1)}\n`);
+      if (typeof options["out"] === "string") await writeFile(options["out"], `${JSON.stringify(result, undefined, 1)}\n`);
     });
   await cli.parseAsync();
 };
