--- a/src/traction/fate.ts
+++ b/src/traction/fate.ts
@@ -7,70 +7,63 @@
  * - `may-have-run`: bytes have left for a worker that has not said, in an answer to this very try, what became of it.
  * - `not-run`: every worker that bytes have left for has said itself that it turned the request away.
  * - `has-run`: a worker has answered it.
- * - `answered`: its caller has been told, or is gone. Nothing is sent any more.
  */
-export type FateState = "unsent" | "may-have-run" | "not-run" | "has-run" | "answered";
+export type FateState = "unsent" | "may-have-run" | "not-run" | "has-run";
 
 /** Statuses that promise that the request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /**
- * The state of one request, and the one place that says what its caller may be told.
+ * What has become of one request. The functions below are the one place that moves it, and that says what its caller may
+ * be told.
  *
- * Moves: `begin` leads from `unsent` and `not-run` to `may-have-run`, and for repeatable requests also on from
- * `may-have-run` and `has-run`; `turnedAway` leads back to `not-run` once it has come from all that bytes left for;
- * `ran` leads to `has-run`; `close` to `answered`, which nothing leaves. A reset, a silence or a doubtful answer moves
- * nothing: `may-have-run` it was from the first byte on.
+ * Moves: `begin` leads from `unsent` and `not-run` to `may-have-run`, and sends repeatable requests on from the other two as
+ * well; `turnedAway` leads from `may-have-run` to `not-run` once it has come from all that bytes left for; `ran` leads to
+ * `has-run`, which nothing leaves. A reset, a silence or a doubtful answer moves nothing: it may have run from the first
+ * byte on. Once `close` has been called its caller has been told or is gone, and nothing begins any more.
  *
- * Invariant: `unheard` is the count of workers that bytes left for and that have not turned the request away; of a
- * request that can't be repeated it never exceeds 1.
+ * Invariant: `unheard` counts the workers that bytes left for and that have not turned the request away; of a request that
+ * can't be repeated it never exceeds 1.
  */
-export class Fate {
-  private begun = 0;
-  private unheard = 0;
-  private isRun = false;
-  private isClosed = false;
+export interface Fate {
+  state: FateState;
+  unheard: number;
+  isClosed: boolean;
+}
 
-  get state(): FateState {
-    if (this.isClosed) return "answered";
-    if (this.isRun) return "has-run";
-    if (this.unheard > 0) return "may-have-run";
-    return this.begun > 0 ? "not-run" : "unsent";
-  }
+export const newFate = (): Fate => ({ state: "unsent", unheard: 0, isClosed: false });
 
-  /** Whether it is certain that no worker has run it, and that none will unless it is sent again. */
-  get isUnrun(): boolean {
-    return this.unheard === 0 && !this.isRun;
-  }
+/** Whether it is certain that no worker has run it, and that none will unless it is sent again. */
+export const isUnrun = ({ state }: Fate): boolean => state === "unsent" || state === "not-run";
 
-  /** Asked right before the first byte leaves for a worker; false forbids the sending. */
-  readonly begin = (isRepeatable: boolean): boolean => {
-    if (this.isClosed || !(isRepeatable || this.isUnrun)) return false;
-    this.begun += 1;
-    this.unheard += 1;
-    return true;
-  };
+/** Asked right before the first byte leaves for a worker; false forbids the sending. */
+export const begin = (fate: Fate, isRepeatable: boolean): boolean => {
+  if (fate.isClosed || !(isRepeatable || isUnrun(fate))) return false;
+  fate.unheard += 1;
+  if (fate.state !== "has-run") fate.state = "may-have-run";
+  return true;
+};
 
-  /** A worker that bytes had left for says, in an answer to this try, that it has not run it and won't. */
-  readonly turnedAway = (): void => {
-    this.unheard -= 1;
-  };
+/** A worker that bytes had left for says, in an answer to this try, that it has not run it and won't. */
+export const turnedAway = (fate: Fate): void => {
+  fate.unheard -= 1;
+  if (fate.state === "may-have-run" && fate.unheard === 0) fate.state = "not-run";
+};
 
-  /** A worker has answered it. */
-  readonly ran = (): void => {
-    this.isRun = true;
-  };
+/** A worker has answered it. */
+export const ran = (fate: Fate): void => {
+  fate.state = "has-run";
+};
 
-  readonly close = (): void => {
-    this.isClosed = true;
-  };
+export const close = (fate: Fate): void => {
+  fate.isClosed = true;
+};
 
-  /** The outcome for the caller where no worker's answer can be given: never a promise that may be untrue. */
-  readonly tell = (wanted: OutcomeName): OutcomeName => {
-    if (this.isUnrun) return wanted === "tooLate" || wanted === "lostAnswer" ? "full" : wanted;
-    return PROMISES.has(OUTCOMES[wanted].status) ? "lostAnswer" : wanted;
-  };
+/** The outcome for the caller where no worker's answer can be given: never a promise that may be untrue. */
+export const tell = (fate: Fate, wanted: OutcomeName): OutcomeName => {
+  if (isUnrun(fate)) return wanted === "tooLate" || wanted === "lostAnswer" ? "full" : wanted;
+  return PROMISES.has(OUTCOMES[wanted].status) ? "lostAnswer" : wanted;
+};
 
-  /** Whether a worker's answer may be given on: one without its own word that it turned the request away is no promise. */
-  readonly mayPass = (status: number, isRepeatable: boolean): boolean => isRepeatable || !PROMISES.has(status);
-}
+/** Whether a worker's answer may be given on: one without its own word that it turned the request away is no promise. */
+export const mayPass = (status: number, isRepeatable: boolean): boolean => isRepeatable || !PROMISES.has(status);
--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -11,7 +11,7 @@
 import { WorkerCall, type Answer, type CallVerdict, type Calling } from "./call.js";
 import type { RolloutOutcome } from "../inspection/rollout-counts.js";
 import { Chooser } from "./choose.js";
-import { Fate } from "./fate.js";
+import * as fates from "./fate.js";
 import { Gate } from "./gate.js";
 import { EXPECT_WORKER, OPERATION_KEY, passOn, TIME_LEFT, TRY_ID } from "./heads.js";
 import type { KeyAnswer, KeyDesk } from "./key-desk.js";
@@ -149,7 +149,8 @@
 
   private readonly arrive = (req: IncomingMessage, res: ServerResponse): void => {
     const { clock } = this.options;
-    const line = this.lines.get(req.socket) ?? this.newLine(req.socket);
+    const line = this.lines.get(req.socket) ?? { open: 0, last: Promise.resolve(), came: 0, closedBy: Infinity };
+    this.lines.set(req.socket, line);
     if (line.closedBy !== Infinity) return;
     line.came += 1;
     const arrivedUs = clock.nowUs();
@@ -171,53 +172,49 @@
       calls: new Set(),
       heldBytes: 0,
       sends: 0,
-      fate: new Fate(),
+      fate: fates.newFate(),
       linkMishap: false,
       stratum: "near|warm",
       over: false,
       onOver: [],
       claim: undefined,
     };
+    line.open += 1;
     this.open += 1;
     line.last = new Promise((resolve) => {
+      let isOpen = true;
       const close = () => {
-        if (!line.closers.delete(close)) return;
+        if (!isOpen) return;
+        isOpen = false;
+        req.socket.off("close", close);
+        line.open -= 1;
         this.open -= 1;
         if (!trip.over) this.abandoned(trip);
         this.end(trip);
         this.giveRoom(trip);
         resolve();
       };
-      line.closers.add(close);
       res.once("close", close);
+      // An answer that waits behind another's never hears that their connection has closed.
+      if (line.open > 1) req.socket.once("close", close);
     });
     if (!this.reading.offer(trip)) this.refuse(trip, "full");
   };
 
-  /** An answer that waits behind another's never hears that their connection has closed; so the line tells it. */
-  private readonly newLine = (socket: Socket): Line => {
-    const line: Line = { closers: new Set(), last: Promise.resolve(), came: 0, closedBy: Infinity };
-    this.lines.set(socket, line);
-    socket.once("close", () => [...line.closers].forEach((close) => close()));
-    return line;
-  };
-
   /** Read: the body, if it is small enough to hold. */
   private readonly read = async (trip: Trip): Promise<void> => {
     const { table, clock } = this.options;
     const { req } = trip;
-    await this.seeWhoLeft();
-    if (trip.over) return;
     const length = Number(req.headers["content-length"] ?? 0);
     const hasBody = length > 0 || req.headers["transfer-encoding"] !== undefined;
     if (length > table.limits.maxBodyBytes) return this.refuse(trip, "bodyTooLarge");
-    if (!hasBody) return this.direct(trip);
-    if (length > HELD_BODY_BYTES) {
-      trip.body = flowOf(req);
+    if (!hasBody || length > HELD_BODY_BYTES) {
+      if (hasBody) trip.body = flowOf(req);
+      if (this.hasStoodStill()) await turns();
       return this.direct(trip);
     }
     const held = await within(clock, trip.budgetUs - clock.nowUs(), this.hold(trip), "slowBody" as const);
-    await this.seeWhoLeft();
+    if (this.hasStoodStill()) await turns();
     if (trip.over) return;
     if (held === "slowBody" || held === "bodyTooLarge" || held === "full") return this.refuse(trip, held);
     if (held === "broken") return this.end(trip);
@@ -225,14 +222,15 @@
     this.direct(trip);
   };
 
-  /** What lay unread through a standstill may be a caller's leaving too, which a later turn of the loop reads. */
-  private readonly seeWhoLeft = async (): Promise<void> => {
+  /**
+   * Whether this process may have stood still until just now. What lay unread meanwhile may be a caller's leaving too, which
+   * a later turn of the loop reads.
+   */
+  private readonly hasStoodStill = (): boolean => {
     const nowUs = this.options.clock.nowUs();
     if (nowUs - this.lastReadUs > STANDSTILL_US) this.resumedUs = nowUs;
     this.lastReadUs = nowUs;
-    if (nowUs - this.resumedUs > RESUMING_US) return;
-    await turn();
-    await turn();
+    return nowUs - this.resumedUs <= RESUMING_US;
   };
 
   private readonly hold = async (trip: Trip): Promise<Buffer | "broken" | "bodyTooLarge" | "full"> => {
@@ -357,7 +355,7 @@
     if (!route) return;
     if (!route.isSafe) {
       await trip.prior;
-      await this.seeWhoLeft();
+      if (trip.place > 1 && this.hasStoodStill()) await turns();
     }
     const budget = clock.after(trip.budgetUs - clock.nowUs(), () => this.runOut(trip));
     trip.onOver.push(budget.stop);
@@ -373,7 +371,7 @@
       const verdict = await this.call(trip, route, worker);
       if (verdict.kind === "answered") {
         // Where it may not pass, it has run and its status would promise that it has not.
-        const mayPass = trip.fate.mayPass(verdict.answer.status, route.isSafe);
+        const mayPass = fates.mayPass(verdict.answer.status, route.isSafe);
         if (mayPass && trip.claim) await this.keep(trip, verdict.answer);
         if (trip.over || !mayPass) {
           verdict.answer.rest?.stop();
@@ -397,10 +395,11 @@
 
   /**
    * The last question before bytes leave for a worker. A connection may have come up only after the time was over, as
-   * when this node stood still meanwhile; a keyed request must hold a claim that is not too old.
+   * when this node stood still meanwhile; a caller's leaving is heard of
+   * some turns after it was read; a keyed request must hold a claim that is not too old.
    */
   private readonly mayBegin = (trip: Trip, route: Route): boolean =>
-    !trip.over && !isBehindClose(trip) && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && trip.fate.begin(route.isSafe);
+    !trip.over && !trip.req.socket.readableEnded && !isBehindClose(trip) && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && fates.begin(trip.fate, route.isSafe);
 
   private readonly isClaimed = ({ claim }: Trip): boolean => claim !== undefined && this.options.clock.nowUs() - claim.askedUs <= CLAIM_GOOD_US;
 
@@ -452,8 +451,8 @@
     void call.verdict.then((verdict) => {
       trip.calls.delete(call);
       if (verdict.kind === "answered" || verdict.kind === "lost") usage?.answered(trip.service, worker.cell, clock.nowUs() - startedUs);
-      if (verdict.kind === "answered") trip.fate.ran();
-      if (verdict.kind === "turned-away") trip.fate.turnedAway();
+      if (verdict.kind === "answered") fates.ran(trip.fate);
+      if (verdict.kind === "turned-away") fates.turnedAway(trip.fate);
       // Nothing of it arrived anywhere, so what is sent next is no retry.
       if (verdict.kind === "unsent") trip.sends -= 1;
       const isOut = verdict.kind === "unsent" && (verdict.why === "unreachable" || verdict.why === "refused");
@@ -486,7 +485,7 @@
     this.markClosing(trip, false);
     res.writeHead(answer.status, heads);
     trip.over = true;
-    trip.fate.close();
+    fates.close(trip.fate);
     if (!answer.rest) {
       res.end(answer.start);
       return;
@@ -508,11 +507,11 @@
   private readonly refuse = (trip: Trip, wanted: OutcomeName, comeBackUs = 0): void => {
     const { res, route } = trip;
     if (trip.over || res.headersSent) return;
-    const name = trip.fate.tell(wanted);
+    const name = fates.tell(trip.fate, wanted);
     const outcome = OUTCOMES[name];
     if (name === "full" && trip.service !== "") this.options.usage?.refused(trip.service);
     this.count(trip, name);
-    this.countSplit(trip, () => (trip.fate.isUnrun && trip.linkMishap ? "own" : lossOf(trip)));
+    this.countSplit(trip, () => (fates.isUnrun(trip.fate) && trip.linkMishap ? "own" : lossOf(trip)));
     this.markClosing(trip, outcome.closes);
     const body = JSON.stringify({ problem: outcome.problem });
     if (outcome.comeBack) res.setHeader("Retry-After", comeBackS(route, comeBackUs));
@@ -522,7 +521,7 @@
   };
 
   private readonly markClosing = (trip: Trip, closes: boolean): void => {
-    if (!closes && !((this.leaving || this.emptied) && trip.line.closers.size === 1)) return;
+    if (!closes && !((this.leaving || this.emptied) && trip.line.open === 1)) return;
     trip.line.closedBy = trip.place;
     trip.res.setHeader("Connection", "close");
   };
@@ -550,7 +549,7 @@
   private readonly end = (trip: Trip): void => {
     trip.over = true;
     this.freeClaim(trip);
-    trip.fate.close();
+    fates.close(trip.fate);
     const cancel = () => {
       trip.calls.forEach((call) => call.cancel());
       if (trip.body !== null && !Buffer.isBuffer(trip.body)) trip.body.destroy();
@@ -562,14 +561,14 @@
   };
 
   private readonly freeClaim = (trip: Trip): void => {
-    if (!trip.claim || !trip.fate.isUnrun) return;
+    if (!trip.claim || !fates.isUnrun(trip.fate)) return;
     this.options.desk?.free(trip.claim.key, trip.claim.token);
     trip.claim = undefined;
   };
 
   private readonly malformed = (mishap: NodeJS.ErrnoException, socket: Socket): void => {
     const line = this.lines.get(socket);
-    if (!socket.writable || (line !== undefined && line.closers.size > 0)) {
+    if (!socket.writable || (line !== undefined && line.open > 0)) {
       socket.destroy();
       return;
     }
@@ -584,7 +583,8 @@
 const NOT_KEPT: ReadonlySet<string> = new Set([TRY_ID, "content-length", "date", "yewreel-worker-load"]);
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
-const turn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+/** Two turns of the event loop: in the first, what lies unread is read; in the second, what follows from it. */
+const turns = (): Promise<void> => new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
 
 /** A body as it comes. Its caller's connection outlives it: who stops reading it early still owes an answer. */
 const flowOf = (req: IncomingMessage): Readable => {
@@ -602,7 +602,7 @@
 const isBehindClose = (trip: Trip): boolean => trip.place > trip.line.closedBy;
 
 /** An unsafe request that may have run may be placed again by its caller. */
-const lossOf = (trip: Trip): RolloutOutcome => (!trip.fate.isUnrun && trip.route?.isSafe === false ? "doubled" : "lost");
+const lossOf = (trip: Trip): RolloutOutcome => (!fates.isUnrun(trip.fate) && trip.route?.isSafe === false ? "doubled" : "lost");
 
 const isHeldBody = (trip: Trip): boolean => trip.body === null || Buffer.isBuffer(trip.body);
 
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -6,8 +6,8 @@
 
 /** The requests of one caller's connection, in the order they came. */
 export interface Line {
-  /** What is to be done for each request read and not yet answered in full, once the connection has closed. */
-  readonly closers: Set<() => void>;
+  /** Requests read and not yet answered in full. */
+  open: number;
   /** Resolves once all that came before has been answered. */
   last: Promise<void>;
   /** Requests that came so far. */
