--- a/simulator/box.ts
+++ b/simulator/box.ts
@@ -88,7 +88,7 @@
       withstandMachines,
       log: silentLog,
     });
-    this.duty = parts.duty({ self: id, ledger: this.ledger, clock: this.clock, log: silentLog, stands: this.stands, ask: this.ask, hasDisk: true, withstandMachines, patienceUs: 1_500 * MS });
+    this.duty = parts.duty({ self: id, ledger: this.ledger, clock: this.clock, log: silentLog, stands: this.stands, ask: this.ask, hasDisk: true, withstandMachines, patienceUs: 500 * MS });
   }
 
   get isAwake(): boolean {
--- a/src/programs/signalbox.ts
+++ b/src/programs/signalbox.ts
@@ -107,7 +107,8 @@
     ask: colleagues.ask,
     hasDisk: archive.hasDisk,
     withstandMachines: settings.withstandMachines,
-    patienceUs: 1_500 * MS,
+    // A link has been silent for a second before its box counts as unseen.
+    patienceUs: 500 * MS,
     leaveUs: Math.max(SECOND, settings.graceUs - SECOND),
     moveMore: async () => (await content?.spread()) ?? true,
   });
