A request cut short may have let go of its connection by the time its answer closes

Cause: the listener that waits for a caller's leaving was taken off req.socket, which was null then: a TypeError that nobody caught ended the process. Change: the connection is kept with the request.

--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
 import type { Calling } from "./call.js";
@@ -25,6 +26,8 @@
   /** Its place on the line, from 1. */
   readonly place: number;
   readonly arrivedUs: number;
+  /** Its caller's connection; kept here, since a request that was cut short may let go of it. */
+  readonly socket: Socket;
   readonly tryId: string;
   /** When the caller and the operator both have given it up, on this process's clock. */
   budgetUs: number;
