--- a/features/simulator.feature
+++ b/features/simulator.feature
@@ -7,7 +7,7 @@
     Examples:
       | deployment | seeds |
       | small      | 150   |
-      | grown      | 25    |
+      | grown      | 20    |
       | large      | 5     |
 
   Scenario: No rule of safety is broken when more is lost at once than is withstood
