--- a/src/interlocking/duty.ts
+++ b/src/interlocking/duty.ts
@@ -205,7 +205,8 @@
     const silent = unseen ? undefined : await this.silentMember();
     if (silent !== undefined) return { yes: false, why: `${silent} does not answer` };
     // Chosen among those who are members then: a change that had begun may have replaced the one seen now.
-    const changed = await this.change((members) => [...members.filter((member) => member !== unseenOf(members)?.[0]), id]);
+    // It may have brought this one in too: then there is nobody to replace.
+    const changed = await this.change((members) => (members.includes(id) ? members : [...members.filter((member) => member !== unseenOf(members)?.[0]), id]));
     return { yes: changed, why: "no quorum" };
   };
 
@@ -221,8 +222,10 @@
     if (!this.isHolder()) return { yes: false, why: "this box does not hold the duty" };
     const { members } = ledger.roster();
     if (!members.includes(id)) return { yes: !isJoint(ledger.roster()), why: "the roster is changing" };
-    if (members.length - 1 < 2 * withstandMachines + 1) return { yes: false, why: "too few would be left" };
-    return { yes: await this.change((all) => all.filter((member) => member !== id)), why: "the others don't hold everything yet" };
+    const areTooFew = (all: readonly string[]) => all.length - 1 < 2 * withstandMachines + 1;
+    if (areTooFew(members)) return { yes: false, why: "too few would be left" };
+    const changed = await this.change((all) => (areTooFew(all) ? all : all.filter((member) => member !== id)));
+    return { yes: changed && !ledger.members().includes(id), why: "the others don't hold everything yet" };
   };
 
   private readonly change = async (to: (members: readonly string[]) => readonly string[]): Promise<boolean> => {
