--- a/src/traction/front.ts
+++ b/src/traction/front.ts
@@ -149,9 +149,8 @@
 
   private readonly arrive = (req: IncomingMessage, res: ServerResponse): void => {
     const { clock } = this.options;
-    const { socket } = req;
-    const line = this.lines.get(socket) ?? { open: 0, last: Promise.resolve(), came: 0, closedBy: Infinity };
-    this.lines.set(socket, line);
+    const line = this.lines.get(req.socket) ?? { socket: req.socket, open: 0, last: Promise.resolve(), came: 0, closedBy: Infinity };
+    this.lines.set(req.socket, line);
     if (line.closedBy !== Infinity) return;
     line.came += 1;
     const arrivedUs = clock.nowUs();
@@ -160,7 +159,6 @@
     const trip: Trip = {
       req,
       res,
-      socket,
       line,
       prior,
       place: line.came,
@@ -188,7 +186,7 @@
       const close = () => {
         if (!isOpen) return;
         isOpen = false;
-        socket.off("close", close);
+        line.socket.off("close", close);
         line.open -= 1;
         this.open -= 1;
         if (!trip.over) this.abandoned(trip);
@@ -198,7 +196,7 @@
       };
       res.once("close", close);
       // An answer that waits behind another's never hears that their connection has closed.
-      if (line.open > 1) socket.once("close", close);
+      if (line.open > 1) line.socket.once("close", close);
     });
     if (!this.reading.offer(trip)) this.refuse(trip, "full");
   };
@@ -401,7 +399,7 @@
    * some turns after it was read; a keyed request must hold a claim that is not too old.
    */
   private readonly mayBegin = (trip: Trip, route: Route): boolean =>
-    !trip.over && !trip.socket.readableEnded && !isBehindClose(trip) && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && fates.begin(trip.fate, route.isSafe);
+    !trip.over && !trip.line.socket.readableEnded && !isBehindClose(trip) && !this.isPast(trip) && (route.kind !== "keyed" || this.isClaimed(trip)) && fates.begin(trip.fate, route.isSafe);
 
   private readonly isClaimed = ({ claim }: Trip): boolean => claim !== undefined && this.options.clock.nowUs() - claim.askedUs <= CLAIM_GOOD_US;
 
--- a/src/traction/trip.ts
+++ b/src/traction/trip.ts
@@ -1,5 +1,5 @@
-import type { Socket } from "node:net";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Readable } from "node:stream";
 import type { Calling } from "./call.js";
 import type { Fate } from "./fate.js";
@@ -7,6 +7,8 @@
 
 /** The requests of one caller's connection, in the order they came. */
 export interface Line {
+  /** A request may lose sight of its connection before it ends; its line doesn't. */
+  readonly socket: Socket;
   /** Requests read and not yet answered in full. */
   open: number;
   /** Resolves once all that came before has been answered. */
@@ -26,8 +28,6 @@
   /** Its place on the line, from 1. */
   readonly place: number;
   readonly arrivedUs: number;
-  /** Its caller's connection; kept here, since a request that was cut short may let go of it. */
-  readonly socket: Socket;
   readonly tryId: string;
   /** When the caller and the operator both have given it up, on this process's clock. */
   budgetUs: number;
