--- a/src/interlocking/ledger.ts
+++ b/src/interlocking/ledger.ts
@@ -176,8 +176,6 @@
 
   readonly isMember = (): boolean => this.members().includes(this.options.self);
 
-  readonly isSettled = (key: string): boolean => this.copy.entry(key).isAgreed;
-
   /** The newest term that this copy knows to be granted. */
   readonly term = (): Term | undefined => readTerm(this.get(GRANT_KEY));
 
