--- a/src/common/settings.ts
+++ b/src/common/settings.ts
@@ -61,6 +61,14 @@
   },
 });
 
+convict.addFormat({
+  name: "endpoints",
+  validate: (value: unknown) => {
+    if (!isRecord(value) || !Object.values(value).every((entry) => readEndpoint(entry)))
+      throw new Error('must give each program a port and a path, such as "9464/metrics"');
+  },
+});
+
 convict.addFormat({
   name: "weight",
   validate: (value: unknown) => {
@@ -69,6 +77,29 @@
   },
 });
 
+/** Where a program serves its metrics; the path has its leading slash. */
+export interface MetricsEndpoint {
+  readonly port: number;
+  readonly path: string;
+}
+
+/** Reads "PORT/PATH"; undefined where it is something else. */
+const readEndpoint = (value: unknown): MetricsEndpoint | undefined => {
+  const found = typeof value === "string" ? /^(\d{1,5})(\/\S+)$/.exec(value) : null;
+  const port = Number(found?.[1]);
+  return found?.[2] !== undefined && port > 0 && port < 65_536
+    ? { port, path: found[2] }
+    : undefined;
+};
+
+const readEndpoints = (value: unknown): ReadonlyMap<string, MetricsEndpoint> =>
+  new Map(
+    Object.entries(isRecord(value) ? value : {}).flatMap(([program, entry]) => {
+      const endpoint = readEndpoint(entry);
+      return endpoint ? [[program, endpoint] as const] : [];
+    }),
+  );
+
 const noTexts: string[] = [];
 const noPorts: number[] = [];
 
@@ -106,6 +137,7 @@
       lostUnsafe: { format: "weight", default: 2 },
       doubled: { format: "weight", default: 5 },
     },
+    metrics: { format: "endpoints", default: {} },
     forecast: { acts: { format: Boolean, default: false } },
     withstand: { machines: { format: "nat", default: 0 } },
     bounds: {
@@ -169,6 +201,8 @@
   readonly staleSlackUs: number;
   readonly ceilingWindowUs: number;
   readonly ceilingExcess: number;
+  /** Where programs serve their metrics, by program; one that isn't named serves none. */
+  readonly metrics: ReadonlyMap<string, MetricsEndpoint>;
   /** Whether what the forecast says is acted on, or only told. */
   readonly forecastActs: boolean;
   /** How heavy each loss weighs when a new route version is judged. */
@@ -222,6 +256,7 @@
       staleSlackUs: cfg.get("bounds.staleSlack"),
       ceilingWindowUs: cfg.get("bounds.ceilingWindow"),
       ceilingExcess: cfg.get("bounds.ceilingExcess"),
+      metrics: readEndpoints(cfg.get("metrics")),
       forecastActs: cfg.get("forecast.acts"),
       rolloutWeights: cfg.get("rollout"),
     });
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,8 +1,10 @@
 #!/usr/bin/env node
 import { stat } from "node:fs/promises";
 import { Command } from "commander";
+import { MetricsServer, processFigures } from "./programs/metrics-server.js";
 import type { RunningProgram } from "./programs/running-program.js";
 import { SteadyClock, type Clock } from "./common/clock.js";
+import { EventLoopDelayRecorder } from "./common/event-loop-delay.js";
 import { loggerFor, setLogLevel } from "./common/logger.js";
 import { readSettings, type Settings } from "./common/settings.js";
 import { SECOND_US } from "./common/duration.js";
@@ -48,6 +50,23 @@
 
 type Program = (settings: Settings, clock: Clock) => Promise<RunningProgram>;
 
+const serveMetrics = async (
+  role: Role,
+  settings: Settings,
+  clock: Clock,
+  program: RunningProgram,
+): Promise<void> => {
+  const endpoint = settings.metrics.get(role);
+  if (!endpoint) return;
+  const delays = new EventLoopDelayRecorder(clock);
+  await new MetricsServer({
+    ...endpoint,
+    ip: settings.ip,
+    figures: [...processFigures(delays), ...program.figures],
+    log: loggerFor("metrics"),
+  }).listen();
+};
+
 /** Each program loads only what it is made of. */
 const run = async (role: Role, load: () => Promise<Program>): Promise<void> => {
   const path = process.env[SETTINGS_VARIABLE] ?? "/etc/yewreel/boot.toml";
@@ -72,6 +91,7 @@
   const clock = new SteadyClock();
   const program = await load();
   const running = await program(read.value, clock);
+  await serveMetrics(role, read.value, clock, running);
   await watchSettings(path, clock, running.applySettings);
   let stopping = false;
   const stop = () => {
--- a/src/membership/node-sessions.ts
+++ b/src/membership/node-sessions.ts
@@ -60,6 +60,11 @@
 
   constructor(private readonly options: NodeSessionsOptions) {}
 
+  /** How many nodes have a session here. */
+  get size(): number {
+    return this.sessions.size;
+  }
+
   /**
    * Serves one node's session until its connection ends. Throws `DecodeError` where the hello is
    * malformed.
@@ -171,7 +176,7 @@
     // A later session of the same node may have replaced this one.
     if (this.sessions.get(node.name) !== session) return;
     this.sessions.delete(node.name);
-    this.options.log.info("node left", { node: node.name });
+    this.options.log.info("node left", { node: node.name, reason: connection.closeReason });
     [...this.sessions.values()]
       .filter((other) => other.parent === node.relay)
       .forEach((other) => this.assignParent(other, node.relay));
--- a/src/membership/update-store.ts
+++ b/src/membership/update-store.ts
@@ -31,6 +31,11 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** How many facts there are. */
+  get size(): number {
+    return this.facts.size;
+  }
+
   readonly get = (key: string): Update | undefined => this.facts.get(key);
 
   readonly all = (): readonly Update[] => [...this.facts.values()];
--- a/src/membership/update-subscriber.ts
+++ b/src/membership/update-subscriber.ts
@@ -160,7 +160,7 @@
             yield "connected";
             // eslint-disable-next-line max-depth -- as above
             for await (const message of incoming) this.take(message);
-            log.info("session closed", { controller });
+            log.info("session closed", { controller, reason: connection.closeReason });
           }
         }
         connection.close();
@@ -273,6 +273,7 @@
 
   private readonly follow = (parent: string): void => {
     this.parent = parent;
+    this.options.log.info("parent assigned", { parent });
     this.relayConnection?.close();
     this.relayConnection = undefined;
     if (parent !== "") void this.subscribeToRelay(parent);
@@ -294,6 +295,11 @@
       }
     }
     connection?.close();
-    if (this.parent === parent) this.report({ kind: MessageKind.parentLost, parent });
+    if (this.parent !== parent) return;
+    this.options.log.info("relay lost", {
+      parent,
+      reason: connection?.closeReason ?? "unreachable",
+    });
+    this.report({ kind: MessageKind.parentLost, parent });
   };
 }
--- a/src/programs/cache/cache.ts
+++ b/src/programs/cache/cache.ts
@@ -31,6 +31,7 @@
 import type { RetryBudgets } from "../../proxy/retry-budget.js";
 import { subscribeToPurges } from "../purge-subscriber.js";
 import { openRetryBudgets } from "../gateway/retry-budgets.js";
+import { relayFigures } from "../gateway/figures.js";
 import type { RunningProgram } from "../running-program.js";
 
 const MB = 1024 * 1024;
@@ -291,6 +292,7 @@
   const reports = startReports(clock, subscriber, upstream, stores, origin);
   log.info("cache is listening", { address: members.ownAddress });
   return {
+    figures: relayFigures(node),
     applySettings: ({ seedNodes }) => subscriber.renewSeeds(seedNodes),
     stop: async () => {
       log.info("cache is shutting down");
--- a/src/programs/controller/config.ts
+++ b/src/programs/controller/config.ts
@@ -20,6 +20,7 @@
   type NewUpdate,
   type UpdateStore,
 } from "../../membership/update-store.js";
+import { loggerFor } from "../../common/logger.js";
 import { asRecord, parseJson, type UnknownRecord } from "../../common/decode.js";
 import type { ApiRequest, ApiResponse, ApiRoute } from "../http-api.js";
 import { fromConfigError, fromStoreError, toApiResponse, type AdminApiError } from "./admin-api.js";
@@ -33,7 +34,8 @@
   [PUBLISHED_REGISTER.retryLimits]: RETRIES_KEY,
 };
 
-const toConfigUpdate = (register: Register): NewUpdate => ({
+/** What nodes are told of a committed item. */
+export const toConfigUpdate = (register: Register): NewUpdate => ({
   key: CONFIG_PREFIX + register.key,
   version: register.version,
   tie: register.digest,
@@ -56,8 +58,16 @@
   updates: UpdateStore,
   sessions: NodeSessions,
 ): void => {
+  const log = loggerFor("config");
   store.events.on("committed", (committed) => {
-    updates.post(committed.filter(({ key }) => isConfigKey(key)).map(toConfigUpdate));
+    const items = committed.filter(({ key }) => isConfigKey(key));
+    updates.post(items.map(toConfigUpdate));
+    if (items.length > 0)
+      log.info("configuration posted to nodes", {
+        items: items.length,
+        version: Math.max(...items.map(({ version }) => version)),
+        sessions: sessions.size,
+      });
     if (committed.some(({ key }) => key === PUBLISHED_REGISTER.ejections))
       sessions.leaveDrainedZone();
     committed.forEach((register) => {
@@ -79,9 +89,13 @@
 };
 
 const changeConfig = async (store: ReplicatedStore, request: ApiRequest): Promise<ApiResponse> => {
+  const log = loggerFor("config");
+  log.info("configuration change received", { bytes: request.body.length });
   const change = await parseChangeInTurns(request.body);
   if (change.isErr) return toApiResponse(err(fromConfigError(change.error)));
-  return toApiResponse(await propose(store, change.value));
+  const result = await propose(store, change.value);
+  log.info("configuration change ended", { items: change.value.length, committed: result.isOk });
+  return toApiResponse(result);
 };
 
 /** Reads the configuration that a quorum holds. */
--- a/src/programs/controller/controller.ts
+++ b/src/programs/controller/controller.ts
@@ -20,6 +20,7 @@
 import { configRoutes, publishCommitted } from "./config.js";
 import { openConsensus } from "./consensus.js";
 import { startControlLoop } from "./control-loop.js";
+import { controllerFigures } from "./figures.js";
 import { queryRoutes, ReplicaStatus, type QueryHandlers } from "./fleet-queries.js";
 import { openHealth } from "./health.js";
 import { MessageDispatcher } from "./message-dispatcher.js";
@@ -172,6 +173,11 @@
   log.info("controller started", { address: settings.control });
 
   return {
+    figures: controllerFigures({
+      ...subsystems,
+      sessions: nodes.sessions,
+      freshness: subsystems.quorum.freshness,
+    }),
     applySettings: ({ seedNodes }) => peers.learn(seedNodes),
     stop: async () => {
       log.info("controller stopping", { address: settings.control });
--- /dev/null
+++ b/src/programs/controller/figures.ts
@@ -0,0 +1,69 @@
+/** What a controller tells of itself to those who watch it. */
+import { isConfigKey } from "../../config/config-keys.js";
+import type { ReplicatedStore } from "../../consensus/replicated-store.js";
+import type { NodeSessions } from "../../membership/node-sessions.js";
+import type { Peers } from "../../membership/peers.js";
+import type { UpdatePublisher } from "../../membership/update-publisher.js";
+import type { UpdateStore } from "../../membership/update-store.js";
+import type { Figure } from "../metrics-server.js";
+import type { QuorumFreshness } from "./quorum-freshness.js";
+
+/** What the figures of a controller are read from. */
+export interface ControllerFiguresOptions {
+  readonly store: ReplicatedStore;
+  readonly updates: UpdateStore;
+  readonly publisher: UpdatePublisher;
+  readonly sessions: NodeSessions;
+  readonly peers: Peers;
+  readonly freshness: QuorumFreshness;
+}
+
+/** The figures of a controller. */
+export const controllerFigures = ({
+  store,
+  updates,
+  publisher,
+  sessions,
+  peers,
+  freshness,
+}: ControllerFiguresOptions): readonly Figure[] => [
+  {
+    name: "yewreel_voting",
+    help: "1 while this replica takes part in quorums.",
+    read: () => Number(store.isVoting),
+  },
+  {
+    name: "yewreel_quorum_contact_age_microseconds",
+    help: "Time since a majority last answered.",
+    read: freshness.contactAgeUs,
+  },
+  {
+    name: "yewreel_config_version",
+    help: "The highest version of any committed configuration item known here.",
+    read: () =>
+      store
+        .committedRegisters()
+        .filter(({ key }) => isConfigKey(key))
+        .reduce((highest, { version }) => Math.max(highest, version), 0),
+  },
+  {
+    name: "yewreel_updates",
+    help: "Updates for nodes: configuration items, workers, decisions.",
+    read: () => updates.size,
+  },
+  {
+    name: "yewreel_direct_children",
+    help: "Nodes that this controller sends updates to itself.",
+    read: () => publisher.size,
+  },
+  {
+    name: "yewreel_sessions",
+    help: "Nodes with a session here.",
+    read: () => sessions.size,
+  },
+  {
+    name: "yewreel_connected_controllers",
+    help: "Controllers with a link to this one, itself included.",
+    read: () => peers.connectedControllers().length,
+  },
+];
--- a/src/programs/data-plane-node.ts
+++ b/src/programs/data-plane-node.ts
@@ -17,6 +17,7 @@
   readonly updates: UpdateStore;
   readonly subscriber: UpdateSubscriber;
   readonly relay: Listener;
+  readonly publisher: UpdatePublisher;
 }
 
 /**
@@ -64,6 +65,7 @@
   return {
     updates,
     subscriber,
+    publisher,
     relay: new Listener(clock, KEEP_ALIVE, { child: serveChild, ...receivers }, log),
   };
 };
--- a/src/programs/gateway/data-plane.ts
+++ b/src/programs/gateway/data-plane.ts
@@ -13,6 +13,8 @@
 import type { RetryBudgets } from "../../proxy/retry-budget.js";
 import { RouteTable } from "../../proxy/route-table.js";
 import { WorkerDirectory } from "../../proxy/worker-directory.js";
+import { loggerFor } from "../../common/logger.js";
+import { CONFIG_PREFIX, type Update } from "../../membership/update-store.js";
 import type { DataPlaneNode } from "../data-plane-node.js";
 import { OutcomeCounts } from "./outcome-counts.js";
 import { openRetryBudgets } from "./retry-budgets.js";
@@ -40,11 +42,27 @@
 
 const DEFAULT_MAX_CONNECTIONS = 16;
 
+const logApplied = (
+  changed: readonly Update[],
+  tookUs: number,
+  { subscriber, publisher }: Pick<DataPlaneNode, "subscriber" | "publisher">,
+): void => {
+  const items = changed.filter(({ key }) => key.startsWith(CONFIG_PREFIX));
+  if (items.length === 0) return;
+  loggerFor("data-plane").info("configuration applied", {
+    items: items.length,
+    version: Math.max(...items.map(({ version }) => version)),
+    tookUs,
+    parent: subscriber.parentRelay,
+    children: publisher.size,
+  });
+};
+
 /** Opens the data plane's state; it is empty until updates come. */
 export const openDataPlane = (
   settings: Settings,
   clock: Clock,
-  { updates, subscriber }: Pick<DataPlaneNode, "updates" | "subscriber">,
+  { updates, subscriber, publisher }: Pick<DataPlaneNode, "updates" | "subscriber" | "publisher">,
 ): DataPlane => {
   const routes = new RouteTable();
   const workers = new WorkerDirectory(clock, settings.name, settings.zone);
@@ -55,12 +73,14 @@
 
   const follow = (server: ProxyServer): void => {
     updates.events.on("changed", (changed) => {
+      const beganUs = clock.nowUs();
       routes.applyUpdates(changed);
       workers.applyUpdates(changed);
       canary.retain(routes.isCurrent);
       server.applyLimits();
       server.setZoneDrained(workers.isDrained(settings.zone));
       server.wake();
+      logApplied(changed, clock.nowUs() - beganUs, { subscriber, publisher });
     });
     updates.events.on("forgotten", (keys) => {
       workers.forgetKeys(keys);
--- /dev/null
+++ b/src/programs/gateway/figures.ts
@@ -0,0 +1,78 @@
+/** What a gateway tells of itself to those who watch it. */
+import type { Figure, LabelledValue } from "../metrics-server.js";
+import type { ProxyServer } from "../../proxy/proxy-server.js";
+import type { DataPlane } from "./data-plane.js";
+import type { DataPlaneNode } from "../data-plane-node.js";
+
+/** What the figures of a gateway are read from. */
+export interface GatewayFiguresOptions {
+  readonly dataPlane: DataPlane;
+  readonly node: DataPlaneNode;
+  readonly server: ProxyServer;
+}
+
+const outcomeTotals = (dataPlane: DataPlane): readonly LabelledValue[] => {
+  const totals = new Map<string, number>();
+  dataPlane.outcomes.rows().forEach(({ outcome, count }) => {
+    const name = String(outcome);
+    totals.set(name, (totals.get(name) ?? 0) + Number(count));
+  });
+  return [...totals].map(([outcome, value]) => ({ labels: { outcome }, value }));
+};
+
+/** The figures of a node's place in the relay tree, for gateways and caches alike. */
+export const relayFigures = ({
+  subscriber,
+  publisher,
+  updates,
+}: DataPlaneNode): readonly Figure[] => [
+  {
+    name: "yewreel_updates",
+    help: "Updates known to this node: configuration items, workers, decisions.",
+    read: () => updates.size,
+  },
+  {
+    name: "yewreel_session_open",
+    help: "1 while the node has a session with a controller.",
+    read: () => Number(subscriber.isConnected),
+  },
+  {
+    name: "yewreel_parent_is_relay",
+    help: "1 while another node sends this one its updates, 0 while a controller does.",
+    read: () => Number(subscriber.parentRelay !== ""),
+  },
+  {
+    name: "yewreel_relay_children",
+    help: "Nodes that this node sends updates to.",
+    read: () => publisher.size,
+  },
+];
+
+/** The figures of a gateway. */
+export const gatewayFigures = ({
+  dataPlane,
+  node,
+  server,
+}: GatewayFiguresOptions): readonly Figure[] => [
+  ...relayFigures(node),
+  {
+    name: "yewreel_config_version",
+    help: "The highest version of any configuration item in force here.",
+    read: () => dataPlane.routes.newestVersion,
+  },
+  {
+    name: "yewreel_config_routes",
+    help: "Routes in force here.",
+    read: () => dataPlane.routes.size,
+  },
+  {
+    name: "yewreel_open_requests",
+    help: "Requests read and not yet answered.",
+    read: () => server.openRequests,
+  },
+  {
+    name: "yewreel_requests",
+    help: "Requests answered since the start, by outcome.",
+    read: () => outcomeTotals(dataPlane),
+  },
+];
--- a/src/programs/gateway/gateway.ts
+++ b/src/programs/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import { serveApi } from "../http-api.js";
 import type { RunningProgram } from "../running-program.js";
 import { adminRoutes } from "./admin-api.js";
+import { gatewayFigures } from "./figures.js";
 import { openDataPlane, type DataPlane } from "./data-plane.js";
 import { nodeQueryHandlers } from "./node-queries.js";
 import type { GatewayObjectCache, GatewayObjectCacheOptions } from "./object-cache.js";
@@ -120,6 +121,7 @@
   log.info("gateway is listening", { address: settings.front });
 
   return {
+    figures: gatewayFigures({ dataPlane, node, server }),
     applySettings: ({ seedNodes }) => subscriber.renewSeeds(seedNodes),
     stop: async () => {
       log.info("gateway is shutting down");
--- /dev/null
+++ b/src/programs/metrics-server.ts
@@ -0,0 +1,144 @@
+/**
+ * The figures of a program in the text format of Prometheus, at a port of their own. The library
+ * that writes the format is loaded when the figures are first asked for, so that starting and
+ * serving cost nothing for it.
+ */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { Registry } from "prom-client";
+import { messageOf } from "../common/errors.js";
+import { sentFrames } from "../transport/frame-codec.js";
+import type { EventLoopDelayRecorder } from "../common/event-loop-delay.js";
+import type { Logger } from "../common/logger.js";
+
+/** A value of a figure, with the labels that tell it from the figure's others. */
+export interface LabelledValue {
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+}
+
+/** One figure; it is read when somebody asks. */
+export interface Figure {
+  /** With its unit at the end, for example `yewreel_children` or `yewreel_uptime_seconds`. */
+  readonly name: string;
+  readonly help: string;
+  readonly read: () => number | readonly LabelledValue[];
+}
+
+/** What a {@link MetricsServer} serves, and where. */
+export interface MetricsServerOptions {
+  readonly ip: string;
+  readonly port: number;
+  /** The path, with its leading slash. */
+  readonly path: string;
+  readonly figures: readonly Figure[];
+  readonly log: Logger;
+}
+
+const labelNamesOf = (values: number | readonly LabelledValue[]): string[] =>
+  typeof values === "number"
+    ? []
+    : [...new Set(values.flatMap(({ labels }) => Object.keys(labels)))];
+
+const openRegistry = async (figures: readonly Figure[]): Promise<Registry> => {
+  const prometheus = await import("prom-client");
+  const registry = new prometheus.Registry();
+  figures.forEach(({ name, help, read }) => {
+    const gauge = new prometheus.Gauge({
+      name,
+      help,
+      labelNames: labelNamesOf(read()),
+      registers: [registry],
+    });
+    Object.assign(gauge, {
+      collect: () => {
+        const values = read();
+        gauge.reset();
+        if (typeof values === "number") gauge.set(values);
+        else values.forEach(({ labels, value }) => gauge.set({ ...labels }, value));
+      },
+    });
+  });
+  return registry;
+};
+
+/** Serves figures over HTTP. */
+export class MetricsServer {
+  private server: Server | undefined;
+  private registry: Promise<Registry> | undefined;
+
+  constructor(private readonly options: MetricsServerOptions) {}
+
+  /**
+   * Listens. A port that is taken is logged and stops nothing else: the figures are then not to be
+   * had.
+   */
+  readonly listen = (): Promise<void> =>
+    new Promise((resolve) => {
+      const { ip, port, log } = this.options;
+      this.server = createServer((request, response) => void this.answer(request.url, response));
+      this.server.once("error", (error) => {
+        log.warn("metrics are not served", { port, error: messageOf(error) });
+        resolve();
+      });
+      this.server.listen(port, ip, resolve);
+    });
+
+  readonly close = (): void => {
+    this.server?.close();
+    this.server?.closeIdleConnections();
+  };
+
+  private readonly answer = async (
+    url: string | undefined,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const { path, figures, log } = this.options;
+    if (url !== path) {
+      response.writeHead(404).end();
+      return;
+    }
+    try {
+      this.registry ??= openRegistry(figures);
+      const registry = await this.registry;
+      const text = await registry.metrics();
+      response.writeHead(200, { "Content-Type": registry.contentType }).end(text);
+    } catch (error) {
+      log.warn("metrics can't be given", { error: messageOf(error) });
+      response.writeHead(500).end();
+    }
+  };
+}
+
+/** Figures of the process that every program has. */
+export const processFigures = (delays: EventLoopDelayRecorder): readonly Figure[] => [
+  {
+    name: "yewreel_event_loop_delay_microseconds",
+    help: "How late timers fired since the last reading.",
+    read: () => {
+      const { p50Us, p99Us, maxUs } = delays.take();
+      return [
+        { labels: { quantile: "0.5" }, value: p50Us },
+        { labels: { quantile: "0.99" }, value: p99Us },
+        { labels: { quantile: "1" }, value: maxUs },
+      ];
+    },
+  },
+  {
+    name: "yewreel_process_resident_bytes",
+    help: "Resident memory of the process.",
+    read: () => process.memoryUsage.rss(),
+  },
+  {
+    name: "yewreel_process_cpu_microseconds",
+    help: "Processor time of the process since its start.",
+    read: () => {
+      const { user, system } = process.cpuUsage();
+      return user + system;
+    },
+  },
+  {
+    name: "yewreel_sent_bytes",
+    help: "Bytes sent to other processes of the cluster, by kind of message.",
+    read: () => [...sentFrames].map(([kind, { bytes }]) => ({ labels: { kind }, value: bytes })),
+  },
+];
--- a/src/programs/running-program.ts
+++ b/src/programs/running-program.ts
@@ -1,5 +1,6 @@
 /** What `main.ts` holds of the program that it has started. */
 import type { Settings } from "../common/settings.js";
+import type { Figure } from "./metrics-server.js";
 
 /** A program that runs on one machine until it is stopped in order. */
 export interface RunningProgram {
@@ -7,4 +8,6 @@
   readonly stop: () => Promise<void>;
   /** Applies what a settings file that was read again says of other machines: the seed nodes. */
   readonly applySettings: (settings: Settings) => void;
+  /** What the program tells of itself to those who watch it. */
+  readonly figures: readonly Figure[];
 }
--- a/src/proxy/route-table.ts
+++ b/src/proxy/route-table.ts
@@ -85,6 +85,7 @@
    */
   private rollbacks: ReadonlyMap<string, string> = new Map();
   private hasConfiguration = false;
+  private highestVersion = 0;
   limits: ClientLimits = DEFAULT_LIMITS;
 
   /** Whether any configuration has come yet; before that no route may be called unknown. */
@@ -92,6 +93,16 @@
     return this.hasConfiguration;
   }
 
+  /** The highest version of any item that was applied; 0 before the first. */
+  get newestVersion(): number {
+    return this.highestVersion;
+  }
+
+  /** How many routes are in force. */
+  get size(): number {
+    return this.routes.size;
+  }
+
   readonly service = (name: string): Service | undefined => this.services.get(name);
 
   /** The service itself, or the baseline where a rollout of this version was rolled back. */
@@ -111,6 +122,7 @@
       .filter((update) => update.key.startsWith(CONFIG_PREFIX))
       .forEach((update) => {
         this.hasConfiguration = true;
+        this.highestVersion = Math.max(this.highestVersion, update.version);
         this.applyItem(update, hosts);
       });
     if (hosts.size > 0) this.sortHosts(hosts);
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -18,6 +18,12 @@
   readonly timeoutUs: number;
 }
 
+/**
+ * Why a connection is over: it ended at either side, nothing came for the time-out, or the peer took
+ * too little of what was sent.
+ */
+export type CloseReason = "ended" | "silence" | "unsent";
+
 /** The kind of the heartbeat on the wire. */
 const KEEP_ALIVE_KIND = "pulse";
 const KEEP_ALIVE: Message = { kind: KEEP_ALIVE_KIND };
@@ -39,6 +45,7 @@
    * in.
    */
   private closed = false;
+  private reason: CloseReason = "ended";
   private lastReceivedUs: number;
   private lastSentUs: number;
   private readonly keepAliveTimer: Timer;
@@ -60,6 +67,11 @@
     return this.closed;
   }
 
+  /** Why the connection is over; `ended` while it isn't. */
+  get closeReason(): CloseReason {
+    return this.reason;
+  }
+
   /**
    * Sends a message; does nothing once the connection is closed. The message must not change
    * afterwards.
@@ -71,7 +83,7 @@
     this.lastSentUs = this.clock.nowUs();
     this.corkForThisTurn();
     this.socket.write(frame);
-    if (this.socket.writableLength > MAX_UNSENT_BYTES) this.close();
+    if (this.socket.writableLength > MAX_UNSENT_BYTES) this.giveUp("unsent");
   };
 
   /** What is sent in one turn of the event loop goes out in one write. */
@@ -95,6 +107,11 @@
     this.socket.destroy();
   };
 
+  private readonly giveUp = (reason: CloseReason): void => {
+    if (!this.closed) this.reason = reason;
+    this.close();
+  };
+
   /** All messages that come in until the connection is closed, without heartbeats. */
   async *incoming(): AsyncGenerator<Message, void, undefined> {
     const reader = new FrameReader();
@@ -118,7 +135,7 @@
   private readonly keepAlive = (): void => {
     const { heartbeatUs, timeoutUs } = this.times;
     const nowUs = this.clock.nowUs();
-    if (nowUs - this.lastReceivedUs > timeoutUs) this.close();
+    if (nowUs - this.lastReceivedUs > timeoutUs) this.giveUp("silence");
     else if (nowUs - this.lastSentUs >= heartbeatUs * HEARTBEAT_DUE_PART) this.send(KEEP_ALIVE);
   };
 }
