Updates go by what links carry: tree by link rates, flow control, and nodes that know they are behind

Excluded: processor (turns of 0.18 s at most), controllers (all posted within 0.45 s). docs/incidents/thin-uplinks.md. Change: the tree gives each node the parent that has a large update at it soonest; at most 0.4 s of a link's capacity is on its way, in frames that children acknowledge; no digests of configuration items in updates; a change is acknowledged once connected controllers have posted it, or after 0.3 s; binding updates are announced over the sessions, and a node that lacks what it was told of answers 503. Older versions neither acknowledge nor announce, and are sent what they were sent before (compatibility.feature is unchanged).

--- a/features/steps/thin-links.ts
+++ b/features/steps/thin-links.ts
@@ -84,6 +84,36 @@
   },
 );
 
+Then("a relay has several children", () => {
+  assert.ok(current().nodes.some(({ publisher }) => publisher.size > 1));
+});
+
+let heldRelay: RelayNode | undefined;
+When("a relay sends its children nothing but keep-alives", () => {
+  heldRelay = current().nodes.find(({ publisher }) => publisher.size > 0);
+  assert.ok(heldRelay, "no relay has children");
+  current().holdRelay(heldRelay);
+});
+When("the relay sends again what it held back", () => {
+  assert.ok(heldRelay);
+  current().releaseRelay(heldRelay);
+});
+When("the controller is gone", () => current().closeController());
+When("{int} ms pass", { timeout: 60_000 }, async (waitMs: number) => current().pass(waitMs));
+
+const isBelow = (node: RelayNode, relay: RelayNode | undefined): boolean => {
+  const parent = current().parentOf(node);
+  return parent !== undefined && (parent === relay || isBelow(parent, relay));
+};
+Then("just the children of that relay and those below them count as behind", () => {
+  current().nodes.forEach((node) =>
+    assert.equal(node.lag.isBehind(), isBelow(node, heldRelay), node.name),
+  );
+});
+Then("no gateway counts as behind", () => {
+  current().nodes.forEach(({ name, lag }) => assert.equal(lag.isBehind(), false, name));
+});
+
 After(() => {
   cluster?.close();
   cluster = undefined;
--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -78,6 +78,7 @@
 let wants: string[] = [];
 let isRateSpent = false;
 let isKeyServiceSilent = false;
+let isBehind = false;
 
 const build = async (withPlan: boolean): Promise<void> => {
   keyService = new InMemoryKeyService();
@@ -85,6 +86,7 @@
   wants = [];
   isRateSpent = false;
   isKeyServiceSilent = false;
+  isBehind = false;
   clock = new ManualClock();
   updates = new UpdateStore(clock);
   pool = new WorkerDirectory(clock, "n1", "c1");
@@ -104,6 +106,7 @@
     routes: table,
     pool,
     retryBudgets: budgets,
+    isBehind: () => isBehind,
     connectionShare: () => 10,
     countFault: () => undefined,
     countOutcome: () => undefined,
@@ -231,6 +234,13 @@
   return found;
 };
 
+Given("the gateway lacks a configuration that it was told of", () => {
+  isBehind = true;
+});
+When("the gateway gets that configuration", () => {
+  isBehind = false;
+});
+
 Before(() => {
   workers = new Map();
   got = [];
--- a/features/support/relay-cluster.ts
+++ b/features/support/relay-cluster.ts
@@ -1,15 +1,18 @@
 import assert from "node:assert/strict";
 import { silentLogger } from "../../src/common/logger.js";
+import { relayHandlers } from "../../src/membership/relay-server.js";
 import { NodeSessions } from "../../src/membership/node-sessions.js";
+import { UpdateLag } from "../../src/membership/update-position.js";
 import { UpdatePublisher } from "../../src/membership/update-publisher.js";
 import { UpdateStore } from "../../src/membership/update-store.js";
 import { UpdateSubscriber } from "../../src/membership/update-subscriber.js";
-import type { Connection, Message } from "../../src/transport/connection.js";
 import { Listener } from "../../src/transport/listener.js";
 import type { ManualClock } from "./manual-clock.js";
 import { ShapedNet } from "./shaped-net.js";
 
 const TIMES = { heartbeatUs: 300_000, timeoutUs: 1_000_000 };
+const LAG_LIMIT_US = 1_500_000;
+const CONTACT_US = 4_000_000;
 const CONTROLLER_NAME = "controller";
 
 /** A node of the cluster, and what it relays with. */
@@ -20,6 +23,7 @@
   readonly updates: UpdateStore;
   readonly publisher: UpdatePublisher;
   readonly relay: Listener;
+  readonly lag: UpdateLag;
 }
 
 /** The rates of the links of a shaped cluster, in megabits a second. */
@@ -49,8 +53,12 @@
 
   constructor(private readonly options: RelayClusterOptions) {
     const { clock, port, rates } = options;
+    const linkOfController = rates ? { linkMbps: rates.controllerMbps } : {};
     this.updates = new UpdateStore(clock);
-    this.publisher = new UpdatePublisher(clock, this.updates, () => true);
+    this.publisher = new UpdatePublisher(clock, this.updates, () => true, {
+      origin: "controller-life-1",
+      ...linkOfController,
+    });
     this.net = rates ? new ShapedNet(clock) : undefined;
     this.sessions = new NodeSessions({
       clock,
@@ -61,6 +69,7 @@
       answer: async (message) => message,
       drainedZone: () => "",
       zone: "c1",
+      ...linkOfController,
     });
     this.listener = new Listener(clock, TIMES, { pointsman: this.sessions.serve }, silentLogger);
   }
@@ -75,7 +84,10 @@
   readonly addNode = async (number: number): Promise<void> => {
     const { clock, port, rates } = this.options;
     const updates = new UpdateStore(clock);
-    const publisher = new UpdatePublisher(clock, updates, () => false);
+    const publisher = new UpdatePublisher(clock, updates, () => false, {
+      ...(rates ? { linkMbps: rates.nodeMbps } : {}),
+    });
+    const lag = new UpdateLag({ clock, limitUs: LAG_LIMIT_US, forgetAfterUs: CONTACT_US });
     const name = `n${number}`;
     const ip = `127.3.1.${number}`;
     const subscriber = new UpdateSubscriber({
@@ -89,24 +101,16 @@
       clock,
       times: TIMES,
       updates,
+      lag,
       log: this.disturbanceLogger(name),
     });
-    const serveChild = async (
-      connection: Connection,
-      _hello: Message,
-      incoming: AsyncIterable<Message>,
-    ): Promise<void> => {
-      if (!subscriber.isUpToDate) return;
-      publisher.addChild(connection);
-      for await (const message of incoming) assert.ok(message.kind);
-      publisher.removeChild(connection);
-    };
-    const relay = new Listener(clock, TIMES, { child: serveChild }, silentLogger);
+    const children = relayHandlers({ subscriber, publisher, log: silentLogger });
+    const relay = new Listener(clock, TIMES, children, silentLogger);
     if (rates) this.net?.addMachine(name, rates.nodeMbps);
     await this.listen(relay, name, ip, port + 1);
     void subscriber.run();
-    subscriber.events.on("freshness", publisher.sendFreshness);
-    this.nodes.push({ name, address: `${ip}:${port + 1}`, subscriber, updates, publisher, relay });
+    const address = `${ip}:${port + 1}`;
+    this.nodes.push({ name, address, subscriber, updates, publisher, relay, lag });
   };
 
   readonly pass = async (waitMs: number): Promise<void> => {
@@ -126,6 +130,10 @@
     return depth;
   };
 
+  /** A relay's children get nothing but keep-alives from it, until it is released. */
+  readonly holdRelay = ({ name }: RelayNode): void => this.net?.hold(name);
+  readonly releaseRelay = ({ name }: RelayNode): void => this.net?.release(name);
+
   /** Ends a node without a word. */
   readonly kill = (node: RelayNode): void => {
     this.nodes = this.nodes.filter((other) => other !== node);
--- a/features/support/shaped-net.ts
+++ b/features/support/shaped-net.ts
@@ -4,6 +4,8 @@
 import type { Clock } from "../../src/common/clock.js";
 
 const LENGTH_BYTES = 4;
+/** No frame but a keep-alive is as short. */
+const KEEP_ALIVE_BYTES = 20;
 const PACKET_BYTES = 16_384;
 /** A connection's sender is held up while so much of it is on its way. */
 const WINDOW_BYTES = 65_536;
@@ -48,9 +50,21 @@
   private readonly uplinks = new Map<string, Uplink>();
   private readonly servers: Server[] = [];
   private readonly sockets = new Set<Socket>();
+  /** Machines whose listeners send nothing but keep-alives, and what they hold back. */
+  private readonly held = new Map<string, (() => void)[]>();
 
   constructor(private readonly clock: Clock) {}
 
+  /** From now on a machine's listener sends its callers keep-alives only; the rest is held back. */
+  readonly hold = (machine: string): void => void this.held.set(machine, []);
+
+  /** Sends what was held back. */
+  readonly release = (machine: string): void => {
+    const waiting = this.held.get(machine) ?? [];
+    this.held.delete(machine);
+    waiting.forEach((deliver) => deliver());
+  };
+
   readonly addMachine = (machine: string, mbps: number): void =>
     void this.uplinks.set(machine, new Uplink(this.clock, (mbps * 1_000_000) / 8));
 
@@ -76,13 +90,13 @@
       this.sockets.add(target);
       target.on("error", () => target.destroy());
       target.write(first);
-      this.pump(dialler, target, senderOf(first));
-      this.pump(target, dialler, machine);
+      this.pump(dialler, target, senderOf(first), "");
+      this.pump(target, dialler, machine, machine);
     });
   };
 
   /** Carries bytes one way over the sender's link, and then the end. */
-  private readonly pump = (from: Socket, to: Socket, sender: string): void => {
+  private readonly pump = (from: Socket, to: Socket, sender: string, listener: string): void => {
     const uplink = this.uplinks.get(sender);
     let inFlight = 0;
     let isOver = false;
@@ -90,6 +104,11 @@
       if (isOver && inFlight === 0) to.destroy();
     };
     const deliver = (packet: Buffer): void => {
+      const held = packet.length > KEEP_ALIVE_BYTES ? this.held.get(listener) : undefined;
+      if (held) {
+        held.push(() => deliver(packet));
+        return;
+      }
       inFlight -= packet.length;
       to.write(packet);
       if (inFlight < WINDOW_BYTES) from.resume();
--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -19,6 +19,18 @@
     When a client gets "/safe/x"
     Then the answer is 503 with Retry-After
 
+  Scenario: A gateway that lacks a configuration that it was told of rejects requests, until it has it
+    Given a worker "w1" that answers well
+    And the gateway lacks a configuration that it was told of
+    When a client posts "an order" to "/unsafe/x"
+    Then the answer is 503 with Retry-After
+    And "w1" saw 0 requests
+    When a client gets "/nowhere/x"
+    Then the answer is 503 with Retry-After
+    When the gateway gets that configuration
+    And a client posts "an order" to "/unsafe/x"
+    Then the answer is 200 with the worker's body, seal and mark
+
   Scenario Outline: A bad answer never reaches a client as a success
     Given a worker "w1" that answers <manner>
     When a client posts "an order" to "/unsafe/x"
--- a/src/common/http-outcomes.ts
+++ b/src/common/http-outcomes.ts
@@ -40,6 +40,7 @@
   unknownWindow: row(404, "no such window"),
   refusedOrder: row(409, "refused"),
   noPlan: row(503, "no plan yet", true),
+  staleConfiguration: row(503, "a newer configuration is on its way", true),
   full: row(503, "full", true),
   noRate: row(503, "the origin's rate is spent", true),
   adrift: row(503, "cut off from the majority", true),
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -47,6 +47,10 @@
   /** Node to its relay: the first message over a connection. */
   childHello: "child",
   updates: "news",
+  /** A child to the node that sends it updates: a large frame has come. */
+  acknowledgement: "acknowledge",
+  /** Controller to node: updates up to a position are on their way. */
+  announcement: "announce",
   clusterSize: "crew",
   freshness: "fresh",
   /** Controller to controller: the nodes with a session. */
@@ -60,6 +64,9 @@
   unknown: "unknown",
 } as const;
 
+const PROTOCOL = "protocol";
+/** In updates the number that they are to be acknowledged with, and in the acknowledgement. */
+const ACKNOWLEDGE = "acknowledge";
 const ZONE = "cell";
 const CONTROLLERS = "boxes";
 const GATEWAYS = "pointsmen";
@@ -154,6 +161,7 @@
   readonly relay: string;
   readonly role: NodeRole;
   readonly linkMbps?: number;
+  readonly protocol?: number;
 }): Message => ({
   kind: MessageKind.nodeHello,
   node: {
@@ -162,9 +170,43 @@
     relay: node.relay,
     role: ROLES[node.role],
     ...(node.linkMbps === undefined ? {} : { linkMbps: node.linkMbps }),
+    ...packProtocol(node.protocol),
   },
 });
 
+const packProtocol = (protocol: number | undefined): UnknownRecord =>
+  protocol === undefined ? {} : { [PROTOCOL]: protocol };
+
+/** The version of the update protocol that a hello gives; 1 where it gives none. */
+export const readProtocol = (hello: UnknownRecord): number =>
+  typeof hello[PROTOCOL] === "number" ? hello[PROTOCOL] : 1;
+
+/** A node's first message to its relay. */
+export const packChildHello = (name: string, protocol: number | undefined): Message => ({
+  kind: MessageKind.childHello,
+  name,
+  ...packProtocol(protocol),
+});
+
+/** The number that a frame of updates is to be acknowledged with; undefined where it wants none. */
+export const acknowledgementOf = (updates: Message): number | undefined =>
+  typeof updates[ACKNOWLEDGE] === "number" ? updates[ACKNOWLEDGE] : undefined;
+
+/** Asks for a frame of updates to be acknowledged. */
+export const withAcknowledgement = (updates: Message, number: number): Message => ({
+  ...updates,
+  [ACKNOWLEDGE]: number,
+});
+
+/** The acknowledgement of a frame of updates. */
+export const packAcknowledgement = (number: number): Message => ({
+  kind: MessageKind.acknowledgement,
+  [ACKNOWLEDGE]: number,
+});
+
+/** Reads what `packAcknowledgement` gave. */
+export const readAcknowledgement = (message: Message): number => readNumber(message, ACKNOWLEDGE);
+
 /** The nodes that have sessions with a controller, for its peers. */
 export const packNodes = (nodes: readonly ClusterNode[]): Message => ({
   kind: MessageKind.sessions,
--- a/src/membership/node-sessions.ts
+++ b/src/membership/node-sessions.ts
@@ -1,18 +1,30 @@
 /** The sessions of data plane nodes with a controller, and what its peers say of theirs. */
 import Emittery from "emittery";
 import type { Clock } from "../common/clock.js";
-import { readString } from "../common/decode.js";
+import { asRecord, readString } from "../common/decode.js";
 import type { Logger } from "../common/logger.js";
 import type { Connection, Message } from "../transport/connection.js";
 import { asReply, PendingRequests, requestIdOf } from "../transport/pending-requests.js";
 import type { ClusterNode, ClusterSize, ControllerAddress, NodeAnswer } from "./cluster.js";
 import { clusterSizeOf } from "./cluster-size.js";
-import { MessageKind, packControllers, packNodes, readNode, readNodes } from "./messages.js";
+import {
+  MessageKind,
+  packControllers,
+  packNodes,
+  readAcknowledgement,
+  readNode,
+  readNodes,
+  readProtocol,
+} from "./messages.js";
 import { chooseParent } from "./relay-tree.js";
+import { FLOW_CONTROL_PROTOCOL } from "./update-feed.js";
+import { packPosition, type UpdatePosition } from "./update-position.js";
 import type { UpdatePublisher } from "./update-publisher.js";
 
 interface Session {
   readonly node: ClusterNode;
+  /** The version of the update protocol that the node speaks. */
+  readonly protocol: number;
   readonly connection: Connection;
   readonly pendingRequests: PendingRequests;
   /** The relay that sends this node updates; empty when this controller does so itself. */
@@ -34,6 +46,8 @@
    * controller serves its own zone's nodes only.
    */
   readonly drainedZone: () => string;
+  /** The rate of this machine's link; 0 or left out where it isn't known. */
+  readonly linkMbps?: number;
   /** This controller's own zone. */
   readonly zone: string;
   readonly controllers: () => readonly ControllerAddress[];
@@ -58,7 +72,9 @@
   private readonly sessions = new Map<string, Session>();
   private readonly peerNodes = new Map<string, readonly ClusterNode[]>();
 
-  constructor(private readonly options: NodeSessionsOptions) {}
+  constructor(private readonly options: NodeSessionsOptions) {
+    options.publisher.events.on("announced", this.announceUpdates);
+  }
 
   /** How many nodes have a session here. */
   get size(): number {
@@ -75,6 +91,7 @@
     incoming: AsyncIterable<Message>,
   ): Promise<void> => {
     const node = readNode(hello["node"]);
+    const protocol = readProtocol(asRecord(hello["node"], "node"));
     if (!(await this.options.mayServe()) || this.isElsewhere(node)) {
       connection.send(packControllers(MessageKind.rejected, this.options.controllers()));
       return connection.finish();
@@ -82,6 +99,7 @@
     if (connection.isClosed) return;
     const session: Session = {
       node,
+      protocol,
       connection,
       pendingRequests: new PendingRequests(this.options.clock),
       parent: "",
@@ -150,6 +168,19 @@
 
   readonly clusterSize = (): ClusterSize => clusterSizeOf(this.nodes());
 
+  /**
+   * Tells nodes whose updates come by way of a relay, or wait, that binding ones are on their way:
+   * so they know if they are behind.
+   */
+  private readonly announceUpdates = (position: UpdatePosition): void => {
+    const { publisher } = this.options;
+    const message: Message = { kind: MessageKind.announcement, position: packPosition(position) };
+    this.sessions.forEach(({ protocol, parent, connection }) => {
+      const isLate = parent !== "" || publisher.isBacklogged(connection);
+      if (protocol >= FLOW_CONTROL_PROTOCOL && isLate) connection.send(message);
+    });
+  };
+
   private readonly open = (session: Session): void => {
     const { node, connection } = session;
     this.sessions.get(node.name)?.connection.close();
@@ -164,6 +195,8 @@
     if (session.pendingRequests.resolve(message)) return;
     const requestId = requestIdOf(message);
     if (requestId !== undefined) void this.answerNode(session, message, requestId);
+    else if (message.kind === MessageKind.acknowledgement)
+      this.options.publisher.acknowledge(session.connection, readAcknowledgement(message));
     else if (message.kind === MessageKind.parentLost)
       this.assignParent(session, readString(message, "parent"));
     else void this.events.emit("report", { ...message, node: session.node.name });
@@ -209,16 +242,16 @@
 
   /** Gives a node its place in the relay tree: first, or because it lost `failedRelay`. */
   private readonly assignParent = (session: Session, failedRelay: string): void => {
-    const { publisher, drainedZone } = this.options;
+    const { publisher, drainedZone, linkMbps } = this.options;
     publisher.removeChild(session.connection);
-    session.parent = chooseParent(
-      session,
-      [...this.sessions.values()],
-      publisher.size,
+    session.parent = chooseParent({
+      seeker: session,
+      nodes: [...this.sessions.values()],
+      controller: { directChildren: publisher.size, linkMbps: linkMbps ?? 0 },
       failedRelay,
-      drainedZone(),
-    );
+      drainedZone: drainedZone(),
+    });
     session.connection.send({ kind: MessageKind.parent, parent: session.parent });
-    if (session.parent === "") publisher.addChild(session.connection);
+    if (session.parent === "") publisher.addChild(session.connection, session.protocol);
   };
 }
--- a/src/membership/update-subscriber.ts
+++ b/src/membership/update-subscriber.ts
@@ -17,7 +17,17 @@
 import type { Connection, KeepAliveTimes, Message } from "../transport/connection.js";
 import { WORKER_PREFIX, type UpdateStore } from "./update-store.js";
 import type { ClusterSize, ControllerAddress, NodeRole } from "./cluster.js";
-import { MessageKind, packNodeHello, readClusterSize, readControllers } from "./messages.js";
+import {
+  acknowledgementOf,
+  MessageKind,
+  packAcknowledgement,
+  packChildHello,
+  packNodeHello,
+  readClusterSize,
+  readControllers,
+} from "./messages.js";
+import { FLOW_CONTROL_PROTOCOL } from "./update-feed.js";
+import { readPosition, type UpdateLag, type UpdatePosition } from "./update-position.js";
 
 /** What a node's subscription to updates is made with. */
 export interface UpdateSubscriberOptions {
@@ -32,6 +42,11 @@
   readonly times: KeepAliveTimes;
   readonly updates: UpdateStore;
   readonly log: Logger;
+  /**
+   * Follows how far this node is behind; without it the node speaks the first version of the update
+   * protocol.
+   */
+  readonly lag?: UpdateLag;
   /** Answers a request of the controller. */
   readonly answer?: (question: Message) => Message | undefined;
 }
@@ -54,6 +69,10 @@
     clusterSize: ClusterSize;
     /** A snapshot of all updates came. */
     snapshot: undefined;
+    /** All updates up to this position of the controller have come. */
+    position: UpdatePosition;
+    /** The parent is of an older version that tells no positions. */
+    positionUnknown: undefined;
     /** Every purge acknowledged before so many microseconds ago has come. */
     freshness: number;
     /** Updates stopped coming, so children can't be served. */
@@ -146,6 +165,7 @@
             relay,
             role,
             ...(linkMbps === undefined ? {} : { linkMbps }),
+            ...(this.protocol === undefined ? {} : { protocol: this.protocol }),
           }),
         );
         const incoming = connection.incoming();
@@ -157,9 +177,11 @@
             log.info("session opened", { controller });
             this.tried.clear();
             this.connectAttempts = 0;
+            this.options.lag?.noteConnected();
             yield "connected";
             // eslint-disable-next-line max-depth -- as above
-            for await (const message of incoming) this.take(message);
+            for await (const message of incoming) this.take(message, connection);
+            this.options.lag?.noteDisconnected();
             log.info("session closed", { controller, reason: connection.closeReason });
           }
         }
@@ -219,7 +241,12 @@
     if (!this.isUpToDate) void this.events.emit("disconnected");
   };
 
-  private readonly take = (message: Message): void => {
+  /** The version of the update protocol that this node speaks; undefined for the first. */
+  private get protocol(): number | undefined {
+    return this.options.lag ? FLOW_CONTROL_PROTOCOL : undefined;
+  }
+
+  private readonly take = (message: Message, connection: Connection): void => {
     if (this.pendingRequests.resolve(message)) return;
     if (typeof message["ask"] === "number") {
       this.report({
@@ -235,18 +262,28 @@
       case MessageKind.parent:
         this.follow(readString(message, "parent"));
         return;
+      case MessageKind.announcement:
+        this.takeAnnouncement(message);
+        return;
       default:
-        this.applyUpdates(message);
+        this.applyUpdates(message, connection);
     }
   };
 
-  private readonly applyUpdates = (message: Message): void => {
+  private readonly takeAnnouncement = (message: Message): void => {
+    const position = readPosition(message["position"]);
+    if (position) this.options.lag?.announce(position);
+  };
+
+  private readonly applyUpdates = (message: Message, connection: Connection): void => {
     const { updates } = this.options;
     if (message.kind === MessageKind.clusterSize)
       void this.events.emit("clusterSize", readClusterSize(message));
     if (message.kind === MessageKind.freshness)
       void this.events.emit("freshness", readNumber(message, "ageUs"));
     if (message.kind !== MessageKind.updates) return;
+    const acknowledgement = acknowledgementOf(message);
+    if (acknowledgement !== undefined) connection.send(packAcknowledgement(acknowledgement));
     const facts = asList(message["facts"], "facts");
     updates.merge(facts);
     updates.forget(readList(message, "forget", asString));
@@ -255,6 +292,18 @@
         this.forgetUnnamed(new Set(facts.map((fact) => readString(asRecord(fact), "key"))));
       void this.events.emit("snapshot");
     }
+    this.advance(message);
+  };
+
+  private readonly advance = (updates: Message): void => {
+    const position = readPosition(updates["position"]);
+    if (readFlag(updates, "whole")) {
+      this.options.lag?.reachSnapshot(position);
+      if (!position) void this.events.emit("positionUnknown");
+    }
+    if (!position) return;
+    this.options.lag?.reach(position);
+    void this.events.emit("position", position);
   };
 
   /**
@@ -285,9 +334,9 @@
     const connection = await connectTo(ip, port, clock, RELAY_CONNECT_TIMEOUT_US, times);
     if (connection && this.parent === parent) {
       this.relayConnection = connection;
-      connection.send({ kind: MessageKind.childHello, name });
+      connection.send(packChildHello(name, this.protocol));
       for await (const message of connection.incoming()) {
-        if (this.parent === parent) this.applyUpdates(message);
+        if (this.parent === parent) this.applyUpdates(message, connection);
       }
       if (this.relayConnection === connection) {
         this.relayConnection = undefined;
--- a/src/programs/controller/config.ts
+++ b/src/programs/controller/config.ts
@@ -24,6 +24,7 @@
 import { asRecord, parseJson, type UnknownRecord } from "../../common/decode.js";
 import type { ApiRequest, ApiResponse, ApiRoute } from "../http-api.js";
 import { fromConfigError, fromStoreError, toApiResponse, type AdminApiError } from "./admin-api.js";
+import type { VisibilityCheck } from "./visibility-check.js";
 import { PUBLISHED_REGISTER } from "./published-state.js";
 
 /** The registers that nodes are sent as they are, and the key of the update that carries each. */
@@ -34,11 +35,14 @@
   [PUBLISHED_REGISTER.retryLimits]: RETRIES_KEY,
 };
 
-/** What nodes are told of a committed item. */
+/**
+ * What nodes are told of a committed item. A committed version names one content for good, so no
+ * tie between two contents has to be broken; a digest would make up half of a large update.
+ */
 export const toConfigUpdate = (register: Register): NewUpdate => ({
   key: CONFIG_PREFIX + register.key,
   version: register.version,
-  tie: register.digest,
+  tie: "",
   body: { dropped: register.dropped, item: register.body },
 });
 
@@ -88,12 +92,17 @@
   return proposed.mapErr(fromStoreError).map(() => ({}));
 };
 
-const changeConfig = async (store: ReplicatedStore, request: ApiRequest): Promise<ApiResponse> => {
+const changeConfig = async (
+  store: ReplicatedStore,
+  visibility: VisibilityCheck,
+  request: ApiRequest,
+): Promise<ApiResponse> => {
   const log = loggerFor("config");
   log.info("configuration change received", { bytes: request.body.length });
   const change = await parseChangeInTurns(request.body);
   if (change.isErr) return toApiResponse(err(fromConfigError(change.error)));
   const result = await propose(store, change.value);
+  if (result.isOk) await visibility.waitForPeers();
   log.info("configuration change ended", { items: change.value.length, committed: result.isOk });
   return toApiResponse(result);
 };
@@ -111,7 +120,14 @@
 };
 
 /** The routes that change and read the configuration. */
-export const configRoutes = (store: ReplicatedStore): readonly ApiRoute[] => [
-  { method: "POST", path: "/plan/change", handle: (request) => changeConfig(store, request) },
+export const configRoutes = (
+  store: ReplicatedStore,
+  visibility: VisibilityCheck,
+): readonly ApiRoute[] => [
+  {
+    method: "POST",
+    path: "/plan/change",
+    handle: (request) => changeConfig(store, visibility, request),
+  },
   { method: "GET", path: "/plan/read", handle: () => readConfig(store) },
 ];
--- a/src/programs/controller/controller.ts
+++ b/src/programs/controller/controller.ts
@@ -4,6 +4,7 @@
  * of nodes are dispatched by kind to the handlers that the subsystems contribute, and calls of the
  * admin API by their routes.
  */
+import { randomUUID } from "node:crypto";
 import { NodeFileSystem } from "../../storage/file-system.js";
 import { MessageKind, packHeartbeat, packNode } from "../../membership/messages.js";
 import { UpdatePublisher } from "../../membership/update-publisher.js";
@@ -32,6 +33,7 @@
 import { QuorumReader } from "./quorum-reader.js";
 import { RetryQuota } from "./retry-quota.js";
 import { restoreWorkers } from "./worker-memory.js";
+import { VisibilityCheck } from "./visibility-check.js";
 import { openWorkers } from "./workers.js";
 
 /**
@@ -42,7 +44,10 @@
   const fileSystem = new NodeFileSystem();
   const updates = new UpdateStore(clock);
   const registry = new WorkerRegistry(clock, updates, settings.heartbeatUs);
-  const publisher = new UpdatePublisher(clock, updates, registry.isComplete);
+  const publisher = new UpdatePublisher(clock, updates, registry.isComplete, {
+    origin: randomUUID(),
+    linkMbps: settings.linkMbps,
+  });
   const peers = openPeers(settings, clock);
   const consensus = openConsensus({
     settings,
@@ -90,6 +95,7 @@
     health,
     retries,
     replicaStatus,
+    visibility: new VisibilityCheck({ peers, quorum }),
   };
 };
 
@@ -100,11 +106,12 @@
  * ask.
  */
 const openPeerServer = (subsystems: Subsystems): PeerServer => {
-  const { consensus, workers, nodes, content, health, retries, replicaStatus, peers } = subsystems;
+  const { consensus, workers, nodes, content, health, retries, replicaStatus, visibility, peers } =
+    subsystems;
   nodes.requests.register({ ...retries.nodeHandlers, ...content?.nodeHandlers });
   const requests = new MessageDispatcher(content?.peerFallback);
-  [consensus, workers, nodes, health, retries, replicaStatus].forEach(({ peerHandlers }) =>
-    requests.register(peerHandlers),
+  [consensus, workers, nodes, health, retries, replicaStatus, visibility].forEach(
+    ({ peerHandlers }) => requests.register(peerHandlers),
   );
   if (content) requests.register(content.peerHandlers);
   return new PeerServer({
@@ -118,7 +125,8 @@
 
 /** The routes of the admin API, for workers and operators. */
 const adminRoutes = (subsystems: Subsystems): readonly ApiRoute[] => {
-  const { store, registry, workers, nodes, content, health, retries, replicaStatus } = subsystems;
+  const { store, registry, workers, nodes, content, health, retries, replicaStatus, visibility } =
+    subsystems;
   const ofFleet: QueryHandlers = {
     nodes: () => nodes.sessions.nodes().map(packNode),
     workers: () => registry.all().map(packHeartbeat),
@@ -128,7 +136,7 @@
     ...content?.queries,
   };
   return [
-    ...configRoutes(store),
+    ...configRoutes(store, visibility),
     ...workers.routes,
     ...purgeRoutes(content?.purge, workers.confirmQuorum),
     ...queryRoutes(store, ofFleet, { copy: replicaStatus.ofThisReplica }),
--- a/src/programs/controller/node-sessions.ts
+++ b/src/programs/controller/node-sessions.ts
@@ -59,6 +59,7 @@
     mayServe: options.mayServeNodes,
     controllers: peers.connectedControllers,
     zone: settings.zone,
+    linkMbps: settings.linkMbps,
     drainedZone: options.emptiedZone,
     answer: async (message, node): Promise<Message> =>
       (await requests.dispatch(message, node)) ?? { kind: MessageKind.unknown },
--- a/src/programs/controller/peer-messages.ts
+++ b/src/programs/controller/peer-messages.ts
@@ -20,6 +20,7 @@
   setRetryLimit: "retry-set",
   leaseRate: "rate-ask",
   applyCommitted: "settled",
+  confirmPosted: "posted",
 } as const;
 
 /** The requests that the leader lease answers. */
--- a/src/programs/controller/quorum-reader.ts
+++ b/src/programs/controller/quorum-reader.ts
@@ -23,10 +23,14 @@
 /** Reads the state of a quorum and records how fresh the contact with one is. */
 export class QuorumReader {
   readonly freshness: QuorumFreshness;
+  /** The reading that was begun because others hold something newer. */
+  private catchingUp: Promise<unknown> = Promise.resolve();
 
   constructor(private readonly options: QuorumReaderOptions) {
     this.freshness = new QuorumFreshness(options.clock, options.onRegained);
-    options.store.events.on("behind", () => void this.sweep());
+    options.store.events.on("behind", () => {
+      this.catchingUp = this.sweep();
+    });
   }
 
   /**
@@ -45,6 +49,11 @@
     return isRead;
   };
 
+  /** Resolves once what others were known to hold before the call has been read. */
+  readonly caughtUp = async (): Promise<void> => {
+    await this.catchingUp;
+  };
+
   /**
    * Whether nodes may be served: the state here was read lately, and a majority answered after this
    * call.
--- a/src/programs/data-plane-node.ts
+++ b/src/programs/data-plane-node.ts
@@ -1,5 +1,7 @@
 import { UpdateStore } from "../membership/update-store.js";
 import { UpdatePublisher } from "../membership/update-publisher.js";
+import { relayHandlers } from "../membership/relay-server.js";
+import { UpdateLag } from "../membership/update-position.js";
 import type { NodeRole } from "../membership/cluster.js";
 import { Listener, type SessionHandler } from "../transport/listener.js";
 import { UpdateSubscriber, type UpdateSubscriberOptions } from "../membership/update-subscriber.js";
@@ -7,7 +9,6 @@
 import { loggerFor } from "../common/logger.js";
 import type { Settings } from "../common/settings.js";
 import { MILLISECOND_US } from "../common/duration.js";
-import type { Message, Connection } from "../transport/connection.js";
 
 /** Intervals of the connections between nodes and controllers, in microseconds. */
 export const KEEP_ALIVE = { heartbeatUs: 300 * MILLISECOND_US, timeoutUs: 1_000 * MILLISECOND_US };
@@ -18,8 +19,16 @@
   readonly subscriber: UpdateSubscriber;
   readonly relay: Listener;
   readonly publisher: UpdatePublisher;
+  /** Whether this node lacks updates that it was told of. */
+  readonly lag: UpdateLag;
 }
 
+/**
+ * A node that has missed an announced update for this part of the bound rejects requests. The rest
+ * of the bound is for the time from an acknowledgement to its announcement.
+ */
+const LAG_LIMIT_FRACTION = 0.6;
+
 /**
  * A node of the data plane among the others: its session with a controller, and its place in the
  * relay tree.
@@ -33,11 +42,17 @@
 ): DataPlaneNode => {
   const log = loggerFor("relay");
   const updates = new UpdateStore(clock);
+  const lag = new UpdateLag({
+    clock,
+    limitUs: Math.min(settings.applyUs, settings.drainUs) * LAG_LIMIT_FRACTION,
+    forgetAfterUs: settings.contactUs,
+  });
   const subscriber = new UpdateSubscriber({
     name: settings.name,
     zone: settings.zone,
     role,
-    ...(settings.deployment === "" ? {} : { linkMbps: settings.linkMbps }),
+    linkMbps: settings.linkMbps,
+    lag,
     relay: `${settings.ip}:${settings.relayPort}`,
     seeds: settings.seedNodes,
     peerPort: settings.peerPort,
@@ -47,25 +62,15 @@
     log: loggerFor("update-subscriber"),
     ...(answer ? { answer } : {}),
   });
-  const publisher = new UpdatePublisher(clock, updates, () => false);
-  const serveChild = async (
-    connection: Connection,
-    _hello: Message,
-    incoming: AsyncIterable<Message>,
-  ): Promise<void> => {
-    if (!subscriber.isUpToDate) return;
-    publisher.addChild(connection);
-    for await (const message of incoming)
-      log.debug("message from a child ignored", { kind: message.kind });
-    publisher.removeChild(connection);
-  };
-  subscriber.events.on("clusterSize", publisher.setClusterSize);
-  subscriber.events.on("freshness", publisher.sendFreshness);
-  subscriber.events.on("disconnected", publisher.closeAll);
+  const publisher = new UpdatePublisher(clock, updates, () => false, {
+    linkMbps: settings.linkMbps,
+  });
+  const children = relayHandlers({ subscriber, publisher, log });
   return {
     updates,
     subscriber,
     publisher,
-    relay: new Listener(clock, KEEP_ALIVE, { child: serveChild, ...receivers }, log),
+    lag,
+    relay: new Listener(clock, KEEP_ALIVE, { ...children, ...receivers }, log),
   };
 };
--- a/src/programs/gateway/gateway.ts
+++ b/src/programs/gateway/gateway.ts
@@ -39,6 +39,7 @@
   clock: Clock,
   dataPlane: DataPlane,
   objectCache: GatewayObjectCache | undefined,
+  isBehind: () => boolean,
 ): ProxyServer => {
   const { canary, faults, load, outcomes, requestCounters } = dataPlane;
   const { zone } = settings;
@@ -50,6 +51,7 @@
     routes: dataPlane.routes,
     pool: dataPlane.workers,
     retryBudgets: dataPlane.retryBudgets,
+    isBehind,
     connectionShare: dataPlane.connectionShare,
     countFault: faults.count,
     countOutcome: outcomes.count,
@@ -104,11 +106,15 @@
       subscriber,
       countFault: dataPlane.faults.count,
     });
-  const server = openProxyServer(settings, clock, dataPlane, objectCache);
+  const server = openProxyServer(settings, clock, dataPlane, objectCache, node.lag.isBehind);
   dataPlane.follow(server);
   let isStopping = false;
   const isReady = (): boolean =>
-    !isStopping && !workers.isDrained(settings.zone) && routes.isLoaded && workers.size > 0;
+    !isStopping &&
+    !node.lag.isBehind() &&
+    !workers.isDrained(settings.zone) &&
+    routes.isLoaded &&
+    workers.size > 0;
   const objectCacheFigures = () => objectCache?.objects.snapshot() ?? {};
   const adminApi = await serveApi(
     settings.ready,
--- a/src/proxy/pipeline.ts
+++ b/src/proxy/pipeline.ts
@@ -46,6 +46,8 @@
   readonly routes: RouteTable;
   readonly pool: WorkerDirectory;
   readonly retryBudgets: RetryBudgets;
+  /** Whether this node lacks a configuration that it was told of; left out, it never does. */
+  readonly isBehind?: () => boolean;
   /** How many connections this node may hold to one worker of a service. */
   readonly connectionShare: (service: string) => number;
   readonly countFault: (worker: string, isFault: boolean) => void;
@@ -116,6 +118,7 @@
     const router = new RequestRouter({
       routes,
       retryBudgets,
+      isBehind: options.isBehind ?? (() => false),
       random,
       forward: this.startForwarding,
       reject: writer.reject,
--- a/src/proxy/request-routing.ts
+++ b/src/proxy/request-routing.ts
@@ -12,6 +12,8 @@
 export interface RequestRouterOptions {
   readonly routes: RouteTable;
   readonly retryBudgets: RetryBudgets;
+  /** Whether this node lacks a configuration that it was told of. */
+  readonly isBehind: () => boolean;
   /** Uniform in [0, 1). */
   readonly random: () => number;
   /** Counts a request of a service for the capacity forecast. */
@@ -47,6 +49,10 @@
       reject(context, "noPlan");
       return;
     }
+    if (this.options.isBehind()) {
+      reject(context, "staleConfiguration");
+      return;
+    }
     const host = (req.headers.host ?? "").toLowerCase().replace(/:\d+$/, "");
     const path = (req.url ?? "/").split("?")[0] ?? "/";
     const route = routes.find(host, path);
