A write of several items is in force as a whole or not at all

Change: a replica remembers of uncommitted proposals which items were proposed together, and what was held before (on disk and in the response to prepare, only where there are such). What can't be told is treated as before. The check of loaded states compares the records of before as it did, and the new records with a file of their own.

--- a/features/compatibility.feature
+++ b/features/compatibility.feature
@@ -3,6 +3,7 @@
   Scenario: The control state of every copy is loaded with every value, and goes on
     Given three copies that start from the control state stored before
     Then each holds exactly what it held
+    And each knows which of it was proposed together, and what was there before
     And what is in force is what was in force
     And a new order is confirmed by a quorum
 
--- a/features/plan.feature
+++ b/features/plan.feature
@@ -32,6 +32,47 @@
     And reading through each controller gives the same route "r1"
     And reading through controller 2 gives route "r1" as it was put first
 
+  Scenario: A write without a clear answer is in force as a whole or not at all
+    When only controller 1 has accepted routes "e" and "h" at version 8
+    And a rival of route "e" at version 8 is confirmed while controller 1 is partitioned
+    And every controller has read
+    Then neither or both of routes "e" and "h" stand as that write had them
+
+  Scenario: The same, where the only controller that accepted it was restarted from its disk
+    When only controller 1 has accepted routes "e" and "h" at version 8
+    And controller 1 is killed and started again from its disk
+    And a rival of route "e" at version 8 is confirmed while controller 1 is partitioned
+    And every controller has read
+    Then neither or both of routes "e" and "h" stand as that write had them
+
+  Scenario: What was proposed together, and what was there before, outlasts a snapshot
+    Given the operator puts route "h" at version 5 through controller 3
+    When only controller 1 has accepted routes "e" and "h" at version 8
+    Then a replica loaded from the snapshot of controller 1 gives the same snapshot, with a call of "e" and "h" and the earlier "h"
+
+  Scenario: Where such a write is overruled, what was there before it stands again
+    Given the operator puts route "h" at version 5 through controller 3
+    When only controller 1 has accepted routes "e" and "h" at version 8
+    And a rival of route "e" at version 8 is confirmed while controller 1 is partitioned
+    And every controller has read
+    Then neither or both of routes "e" and "h" stand as that write had them
+    And reading through each controller gives route "h" at version 5
+
+  Scenario: Two such writes on top of each other are overruled together
+    Given the operator puts route "h" at version 5 through controller 3
+    When only controller 1 has accepted routes "e" and "h" at version 7
+    And only controller 1 has accepted routes "e" and "h" at version 8
+    And a rival of route "e" at version 8 is confirmed while controller 1 is partitioned
+    And every controller has read
+    Then reading through each controller gives route "h" at version 5
+
+  Scenario: A write on top of one item of a write without a clear answer brings all of it into force
+    When only controller 1 has accepted routes "e" and "h" at version 8
+    And the operator puts route "h" at version 9 through controller 2
+    Then the write is acknowledged
+    And reading through each controller gives route "e" at version 8
+    And reading through each controller gives route "h" at version 9
+
   Scenario: Another content under a committed version is rejected, and no part of that write is in force
     Given the operator puts route "r1" at version 9 through controller 1
     When the operator puts routes "r1" and "r2" at version 9 through controller 2
--- a/features/simulator.feature
+++ b/features/simulator.feature
@@ -29,6 +29,7 @@
       | a read asks no quorum                                    | kill     | linearizable   |
       | what was committed under earlier versions is forgotten   | kill     | rejected       |
       | only the first item of a change is proposed              | kill     | complete       |
+      | what was proposed together is forgotten                  | freeze   | atomic         |
       | a change is accepted without a check of what it requires | kill     | rejected       |
       | terms are not checked                                    | freeze   | leader-terms   |
       | quorum contact is taken for granted                      | freeze   | quorum-contact |
--- a/features/steps/compatibility.ts
+++ b/features/steps/compatibility.ts
@@ -93,9 +93,26 @@
   found = await bringBack(cluster, MEMBERS, (id) => files.get(id) ?? new Map<string, Uint8Array>());
 });
 
-Then("each holds exactly what it held", async () =>
-  assert.deepEqual(withFormerNames(found), await golden("loaded.json")),
-);
+/** Records that today's snapshots have beside those of before. */
+const isOfHistory = (record: unknown): boolean =>
+  ["call", "earlier"].includes(String(asRecord(record)["t"]));
+const snapshotOf = (state: unknown): readonly unknown[] => asList(asRecord(state)["snapshot"]);
+
+Then("each holds exactly what it held", async () => {
+  const withoutHistory = found.map((state) => ({
+    ...asRecord(state),
+    snapshot: snapshotOf(state).filter((record) => !isOfHistory(record)),
+  }));
+  assert.deepEqual(withFormerNames(withoutHistory), await golden("loaded.json"));
+});
+
+Then("each knows which of it was proposed together, and what was there before", async () => {
+  const history = found.map((state) => snapshotOf(state).filter(isOfHistory));
+  assert.deepEqual(
+    history,
+    asList(parseJson(await readFile("features/data/2026-12-history/loaded.json", "utf8"))),
+  );
+});
 
 Then("what is in force is what was in force", async () => {
   const { registers, roster: voterSet } = await goldenRec("state.json");
--- a/features/steps/plan.ts
+++ b/features/steps/plan.ts
@@ -6,7 +6,7 @@
 import { Replica } from "../../src/consensus/replica.js";
 import { makeRegister, type Register } from "../../src/consensus/register.js";
 import type { ReplicatedStoreError } from "../../src/consensus/errors.js";
-import { asRecord, parseJson, type UnknownRecord } from "../../src/common/decode.js";
+import { asList, asRecord, parseJson, type UnknownRecord } from "../../src/common/decode.js";
 import { ReplicaCluster, STATE_FOLDER, type ClusterMember } from "../support/replica-cluster.js";
 import { settle } from "../support/manual-clock.js";
 
@@ -212,6 +212,39 @@
   },
 );
 
+When("controller {int} is killed and started again from its disk", async (number: number) => {
+  await cluster.kill(controllerId(number));
+  await cluster.start(controllerId(number), false);
+});
+
+Then(
+  "reading through each controller gives route {string} at version {int}",
+  async (name: string, version: number) => {
+    for (const id of cluster.running.keys())
+      assert.equal((await readThrough(id, name))?.version, version, id);
+  },
+);
+
+Then(
+  "a replica loaded from the snapshot of controller {int} gives the same snapshot, with a call of {string} and {string} and the earlier {string}",
+  (number: number, one: string, other: string, before: string) => {
+    const snapshot = cluster.member(controllerId(number)).replica.snapshot();
+    const loaded = new Replica();
+    snapshot.forEach(loaded.replay);
+    assert.deepEqual(loaded.snapshot(), snapshot);
+    const call = snapshot.find((record) => record["t"] === "call");
+    assert.deepEqual(
+      asList(call?.["items"]).map((item) => asList(item)[0]),
+      [key(one), key(other)],
+    );
+    const earlier = snapshot.find((record) => record["t"] === "earlier");
+    assert.deepEqual(
+      asList(earlier?.["rows"]).map((row) => asList(row)[0]),
+      [key(before)],
+    );
+  },
+);
+
 When("every controller has read", async () => {
   await cluster.readAll();
   await cluster.readAll();
--- a/features/support/broken-controllers.ts
+++ b/features/support/broken-controllers.ts
@@ -30,6 +30,10 @@
   override readonly promisedFor = () => NO_BALLOT;
 }
 
+class ReplicaWithoutHistory extends Replica {
+  override readonly historyOf = () => undefined;
+}
+
 /** Shows no file that is corrupt, and none that came after it. */
 const hidingCorruptFiles = (disk: FileSystem): FileSystem => ({
   ...disk,
@@ -64,6 +68,10 @@
     ...REAL_COMPONENTS,
     replica: () => new ForgetfulReplica(),
   },
+  "what was proposed together is forgotten": {
+    ...REAL_COMPONENTS,
+    replica: () => new ReplicaWithoutHistory(),
+  },
   "a corrupt file is ignored in favour of older ones": {
     ...REAL_COMPONENTS,
     disk: hidingCorruptFiles,
--- a/simulator/invariants.ts
+++ b/simulator/invariants.ts
@@ -44,14 +44,13 @@
   "voter-set": voterSets,
 };
 
-/**
- * What is always checked. `atomic` is asked for by name: it does not hold yet (docs/simulator.md).
- */
-export const DEFAULT_INVARIANTS: readonly InvariantName[] = [
+/** What is always checked. */
+const ALL_INVARIANTS: readonly InvariantName[] = [
   "error",
   "single-value",
   "rejected",
   "complete",
+  "atomic",
   "linearizable",
   "leader-terms",
   "quorum-contact",
@@ -63,7 +62,7 @@
 export const violationsOf = (
   outcome: Outcome,
   schedule: Schedule,
-  names: readonly InvariantName[] = DEFAULT_INVARIANTS,
+  names: readonly InvariantName[] = ALL_INVARIANTS,
 ): readonly Violation[] => {
   const violations: Violation[] = [];
   names.forEach((invariant) => {
--- a/simulator/run.ts
+++ b/simulator/run.ts
@@ -46,7 +46,6 @@
     deployment,
     exceedsTolerance: readFlag(options, "beyond"),
     frequentFault,
-    checksAtomic: readFlag(options, "atomic"),
     shrinks: readFlag(options, "shrink"),
   };
   return { range, seeds, jobs, json: readFlag(options, "json") };
@@ -142,11 +141,6 @@
       "the fault that comes most often; otherwise each seed picks its own",
       "",
     )
-    .option(
-      "--atomic",
-      "check too that a change without a clear answer is in force completely or not at all",
-      false,
-    )
     .option("--jobs <n>", "threads", "1")
     .option("--no-shrink", "failing schedules are shown as they are")
     .option("--json", "one line of JSON at the end", false)
--- a/simulator/seed-runner.ts
+++ b/simulator/seed-runner.ts
@@ -8,7 +8,7 @@
   readNumber,
   readString,
 } from "../src/common/decode.js";
-import { DEFAULT_INVARIANTS, violationsOf } from "./invariants.js";
+import { violationsOf } from "./invariants.js";
 import { generateSchedule } from "./schedule-generator.js";
 import { faultKindOf, type Event } from "./schedule.js";
 import { shrink } from "./shrink.js";
@@ -23,8 +23,6 @@
   readonly exceedsTolerance: boolean;
   /** A kind of fault; empty where the seed picks it. */
   readonly frequentFault: string;
-  /** Whether the invariant `atomic` is checked too. */
-  readonly checksAtomic: boolean;
   readonly shrinks: boolean;
 }
 
@@ -45,18 +43,14 @@
   `${(atUs / 1_000_000).toFixed(3).padStart(7)} s  ${kind} ${JSON.stringify(more)}`;
 
 const simulateSeed = async (seed: number, range: SeedRange): Promise<SeedResult> => {
-  const { deployment, exceedsTolerance, checksAtomic, shrinks } = range;
+  const { deployment, exceedsTolerance, shrinks } = range;
   const frequentFault = faultKindOf(range.frequentFault);
   const schedule = generateSchedule(seed, deployment, {
     exceedsTolerance,
     ...(frequentFault ? { frequentFault } : {}),
   });
   const outcome = await simulate(schedule);
-  const violations = violationsOf(
-    outcome,
-    schedule,
-    checksAtomic ? [...DEFAULT_INVARIANTS, "atomic"] : DEFAULT_INVARIANTS,
-  );
+  const violations = violationsOf(outcome, schedule);
   const { history, eventCount } = outcome;
   const [first] = violations;
   const shrunk = first && shrinks ? await shrink(schedule, first) : undefined;
@@ -117,7 +111,6 @@
     deployment: readString(record, "deployment"),
     exceedsTolerance: readFlag(record, "exceedsTolerance"),
     frequentFault: readString(record, "frequentFault"),
-    checksAtomic: readFlag(record, "checksAtomic"),
     shrinks: readFlag(record, "shrinks"),
   };
 };
--- a/src/consensus/acceptor.ts
+++ b/src/consensus/acceptor.ts
@@ -84,13 +84,14 @@
     if (rejection) return rejection;
     local.record(local.state.prepare(keys, ballot));
     const entries = keys.map((key) => local.state.entry(key));
+    const history = local.state.historyOf(keys);
     if (!(await local.persisted())) return encodeRejection("disk-failure");
     const reports = entries.flatMap((entry, at): EntryReport[] => {
       if (entry.ballot.number === 0) return [];
       const isUnchanged = isSameBallot(entry.ballot, knownBallots[at] ?? NO_BALLOT);
       return [isUnchanged ? withoutRegister(entry) : entry];
     });
-    return encodePrepareResponse({ incarnation: local.incarnation, entries: reports });
+    return encodePrepareResponse({ incarnation: local.incarnation, entries: reports, history });
   };
 
   private readonly accept = async (request: AcceptRequest): Promise<Message> => {
--- /dev/null
+++ b/src/consensus/call-resolution.ts
@@ -0,0 +1,178 @@
+/**
+ * What stands under some keys, as the promises of a quorum show it, where proposals of several items
+ * may have been left at a minority.
+ *
+ * Replicas accept the items of a call together or not at all, so a call was committed for all of its
+ * items or for none. If another proposal has a higher ballot under one of them and was not made on
+ * top of the call, then a quorum had promised that ballot without having accepted the call: it was
+ * not committed, and, since this quorum has promised a ballot above it, it never will be. Its items
+ * are then left out, and what was there before them stands. Whatever can't be told is treated as
+ * possibly committed.
+ */
+import { isHigherBallot, NO_BALLOT, type Ballot } from "./ballot.js";
+import type { EntryReport, PrepareResponse } from "./message-types.js";
+import { ballotName, type ItemStamp, type ProposedCall } from "./proposal-history.js";
+import type { Past, Register } from "./register.js";
+
+/** What the promises come to. */
+export type CallResolution =
+  /** These keys belong to the same calls and must be prepared too. */
+  | { readonly kind: "incomplete"; readonly missingKeys: readonly string[] }
+  /** What stands under each key of which anything is known. */
+  | { readonly kind: "resolved"; readonly found: ReadonlyMap<string, EntryReport> };
+
+/** A proposal under one key, as all that reported it tell it. */
+interface Candidate {
+  readonly ballot: Ballot;
+  readonly register: Register | undefined;
+  readonly isCommitted: boolean;
+  /** Whether each that reported it knows its call, and what came before it. */
+  readonly isTraceable: boolean;
+}
+
+/** The candidates of a key by ballot. */
+type Candidates = Map<string, Candidate>;
+
+const isTraceableBy = (
+  { key, ballot, isAccepted, isCommitted }: EntryReport,
+  { history }: PrepareResponse,
+): boolean =>
+  isCommitted ||
+  (isAccepted &&
+    history !== undefined &&
+    !history.forgottenKeys.includes(key) &&
+    history.calls.some((call) => ballotName(call.ballot) === ballotName(ballot)));
+
+const addCandidate = (candidates: Candidates, report: EntryReport, isTraceable: boolean): void => {
+  if (report.register === "unchanged") return;
+  const name = ballotName(report.ballot);
+  const known = candidates.get(name);
+  candidates.set(name, {
+    ballot: report.ballot,
+    register: report.register,
+    isCommitted: report.isCommitted || known?.isCommitted === true,
+    isTraceable: isTraceable && known?.isTraceable !== false,
+  });
+};
+
+const collectCandidates = (
+  responses: readonly PrepareResponse[],
+): ReadonlyMap<string, Candidates> => {
+  const byKey = new Map<string, Candidates>();
+  responses.forEach((response) => {
+    [...response.entries, ...(response.history?.earlier ?? [])].forEach((report) => {
+      const candidates = byKey.get(report.key) ?? new Map<string, Candidate>();
+      addCandidate(candidates, report, isTraceableBy(report, response));
+      byKey.set(report.key, candidates);
+    });
+  });
+  return byKey;
+};
+
+const highestOf = (candidates: Candidates | undefined): Candidate | undefined =>
+  [...(candidates?.values() ?? [])].reduce<Candidate | undefined>(
+    (highest, candidate) =>
+      highest && !isHigherBallot(candidate.ballot, highest.ballot) ? highest : candidate,
+    undefined,
+  );
+
+/** Whether a register was made on top of what the call wrote there, as far as can be told. */
+const isBuiltOn = (register: Register | undefined, stamp: ItemStamp | undefined): boolean => {
+  if (!stamp) return true;
+  if (!register) return false;
+  const known = new Map([...register.past, [register.version, register.digest]]);
+  const written: readonly Past[] = [...stamp.past, [stamp.version, stamp.digest]];
+  return written.every(
+    ([version, digest]) => version < register.pastFrom || known.get(version) === digest,
+  );
+};
+
+/** The candidates under some keys, and the calls that they belong to. */
+class Resolver {
+  private readonly candidates: ReadonlyMap<string, Candidates>;
+  private readonly calls: ReadonlyMap<string, ProposedCall>;
+
+  constructor(
+    private readonly keys: ReadonlySet<string>,
+    responses: readonly PrepareResponse[],
+  ) {
+    this.candidates = collectCandidates(responses);
+    this.calls = new Map(
+      responses
+        .flatMap(({ history }) => history?.calls ?? [])
+        .map((call) => [ballotName(call.ballot), call]),
+    );
+  }
+
+  readonly resolve = (): CallResolution => {
+    for (;;) {
+      const calls = this.openCalls();
+      const missingKeys = calls
+        .flatMap(({ items }) => [...items.keys()])
+        .filter((key) => !this.keys.has(key));
+      if (missingKeys.length > 0)
+        return { kind: "incomplete", missingKeys: [...new Set(missingKeys)] };
+      const overruled = calls.find(this.wasOverruled);
+      if (!overruled) return { kind: "resolved", found: this.standing() };
+      this.leaveOut(overruled);
+    }
+  };
+
+  /** The calls of the newest proposals that aren't known to be committed, highest ballot first. */
+  private readonly openCalls = (): readonly ProposedCall[] => {
+    const open = new Set<ProposedCall>();
+    this.candidates.forEach((candidates) => {
+      const newest = highestOf(candidates);
+      const call = newest && this.calls.get(ballotName(newest.ballot));
+      if (call && !newest.isCommitted) open.add(call);
+    });
+    return [...open].sort((one, other) => (isHigherBallot(one.ballot, other.ballot) ? -1 : 1));
+  };
+
+  private readonly wasOverruled = ({ ballot, items }: ProposedCall): boolean => {
+    const own = [...items.keys()].flatMap(
+      (key) => this.candidates.get(key)?.get(ballotName(ballot)) ?? [],
+    );
+    if (own.some(({ isCommitted, isTraceable }) => isCommitted || !isTraceable)) return false;
+    return [...items].some(([key, stamp]) => {
+      const newest = highestOf(this.candidates.get(key));
+      return (
+        newest !== undefined &&
+        isHigherBallot(newest.ballot, ballot) &&
+        !isBuiltOn(newest.register, stamp)
+      );
+    });
+  };
+
+  private readonly leaveOut = ({ ballot, items }: ProposedCall): void =>
+    [...items.keys()].forEach((key) => this.candidates.get(key)?.delete(ballotName(ballot)));
+
+  /** Where nothing is left under a key, nothing stands there, and that is to be accepted anew. */
+  private readonly standing = (): ReadonlyMap<string, EntryReport> =>
+    new Map(
+      [...this.candidates].map(([key, candidates]) => {
+        const newest = highestOf(candidates);
+        return [
+          key,
+          {
+            key,
+            ballot: newest?.ballot ?? NO_BALLOT,
+            isAccepted: false,
+            isCommitted: newest?.isCommitted ?? false,
+            register: newest?.register,
+          },
+        ];
+      }),
+    );
+}
+
+/**
+ * Tells what stands under the keys that were prepared.
+ *
+ * @param keys - all keys that the ballot was promised for
+ * @param responses - the promises of a quorum, registers that were left out filled in
+ */
+export const resolveCalls = (
+  keys: ReadonlySet<string>,
+  responses: readonly PrepareResponse[],
+): CallResolution => new Resolver(keys, responses).resolve();
--- /dev/null
+++ b/src/consensus/entry-report-codec.ts
@@ -0,0 +1,44 @@
+/** The form in which replicas report their entries to each other, and what came before them. */
+import { asList, asRecord, asString, readList, type UnknownRecord } from "../common/decode.js";
+import { decodeBallot, encodeBallot } from "./ballot.js";
+import { decodeCall, encodeCall } from "./call-codec.js";
+import type { EntryReport, HistoryReport } from "./message-types.js";
+import { decodeContent } from "./record-codec.js";
+import { encodeRegister } from "./register.js";
+
+/** The form of an entry in responses; a register that the asker holds is left out. */
+export const encodeEntryReport = (entry: EntryReport): readonly unknown[] => [
+  entry.key,
+  encodeBallot(entry.ballot),
+  entry.isAccepted,
+  entry.isCommitted,
+  ...(entry.register === "unchanged"
+    ? []
+    : [entry.register ? encodeRegister(entry.register) : null]),
+];
+
+/** @throws DecodeError where a field is missing or of another type */
+export const decodeEntryReport = (value: unknown): EntryReport => {
+  const row = asList(value, "entry");
+  return {
+    key: asString(row[0]),
+    ballot: decodeBallot(row[1]),
+    isAccepted: row[2] === true,
+    isCommitted: row[3] === true,
+    register: row.length > 4 ? decodeContent(row[4]) : "unchanged",
+  };
+};
+
+/** The form of what a replica remembers beside its entries. */
+export const encodeHistory = ({ calls, earlier, forgottenKeys }: HistoryReport): UnknownRecord => ({
+  calls: calls.map(encodeCall),
+  earlier: earlier.map(encodeEntryReport),
+  forgotten: forgottenKeys,
+});
+
+/** @throws DecodeError where a field is missing or of another type */
+export const decodeHistory = (record: UnknownRecord): HistoryReport => ({
+  calls: readList(record, "calls", (value) => decodeCall(asRecord(value, "call"))),
+  earlier: readList(record, "earlier", decodeEntryReport),
+  forgottenKeys: readList(record, "forgotten", asString),
+});
--- a/src/consensus/message-types.ts
+++ b/src/consensus/message-types.ts
@@ -3,6 +3,7 @@
  * wire.
  */
 import type { Ballot } from "./ballot.js";
+import type { ProposedCall } from "./proposal-history.js";
 import type { Item, VoterSetProposal } from "./record-codec.js";
 import type { Register } from "./register.js";
 import type { CommitMark } from "./replica.js";
@@ -94,10 +95,22 @@
   readonly register: Register | undefined | "unchanged";
 }
 
+/** What a replica remembers beside the entries that it reports (`proposal-history.ts`). */
+export interface HistoryReport {
+  /** The calls of entries, and of earlier ones, that it doesn't know to be committed. */
+  readonly calls: readonly ProposedCall[];
+  /** What it held under their keys before. */
+  readonly earlier: readonly EntryReport[];
+  /** The keys of which it no longer knows what came before. */
+  readonly forgottenKeys: readonly string[];
+}
+
 /** The ballot is promised; what was accepted before is told. */
 export interface PrepareResponse {
   readonly incarnation: string;
   readonly entries: readonly EntryReport[];
+  /** Undefined where no entry is part of an uncommitted call, and from older versions. */
+  readonly history?: HistoryReport | undefined;
 }
 
 /** One chunk of what a replica holds. */
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -22,23 +22,22 @@
 } from "../common/decode.js";
 import type { Message } from "../transport/connection.js";
 import { decodeBallot, encodeBallot } from "./ballot.js";
-import {
-  decodeContent,
-  decodeItem,
-  decodeProposal,
-  encodeItem,
-  encodeProposal,
-} from "./record-codec.js";
+import { decodeItem, decodeProposal, encodeItem, encodeProposal } from "./record-codec.js";
 import { encodeRegister, type Register } from "./register.js";
 import type { CommitMark } from "./replica.js";
 import { decodeTerm, encodeTerm } from "./term.js";
 import { decodeVoterSet, encodeVoterSet, type VoterSet } from "./voter-set.js";
+import {
+  decodeEntryReport,
+  decodeHistory,
+  encodeEntryReport,
+  encodeHistory,
+} from "./entry-report-codec.js";
 import type {
   AcceptRequest,
   CommittedNotice,
   ConsensusRequest,
   ContactResponse,
-  EntryReport,
   Incarnations,
   PrepareRequest,
   PrepareResponse,
@@ -83,6 +82,7 @@
 const NEXT_VOTER_SET = "next";
 const GRANT = "grant";
 const TERM = "term";
+const HISTORY = "history";
 const REASON = "why";
 const HIGHEST_BALLOT_NUMBER = "top";
 
@@ -242,32 +242,12 @@
 
 // --- responses -----------------------------------------------------------------------------------
 
-const encodeEntryReport = (entry: EntryReport): readonly unknown[] => [
-  entry.key,
-  encodeBallot(entry.ballot),
-  entry.isAccepted,
-  entry.isCommitted,
-  ...(entry.register === "unchanged"
-    ? []
-    : [entry.register ? encodeRegister(entry.register) : null]),
-];
-
-const decodeEntryReport = (value: unknown): EntryReport => {
-  const row = asList(value, "entry");
-  return {
-    key: asString(row[0]),
-    ballot: decodeBallot(row[1]),
-    isAccepted: row[2] === true,
-    isCommitted: row[3] === true,
-    register: row.length > 4 ? decodeContent(row[4]) : "unchanged",
-  };
-};
-
 /** The form of a promise. */
-export const encodePrepareResponse = ({ incarnation, entries }: PrepareResponse): Message => ({
+export const encodePrepareResponse = (response: PrepareResponse): Message => ({
   kind: PREPARED,
-  [INCARNATION]: incarnation,
-  entries: entries.map(encodeEntryReport),
+  [INCARNATION]: response.incarnation,
+  entries: response.entries.map(encodeEntryReport),
+  ...(response.history ? { [HISTORY]: encodeHistory(response.history) } : {}),
 });
 
 /** Whether the ballot was promised, for registers or for a voter set. */
@@ -277,6 +257,7 @@
 export const decodePrepareResponse = (message: Message): PrepareResponse => ({
   incarnation: readString(message, INCARNATION),
   entries: readList(message, "entries", decodeEntryReport),
+  history: isRecord(message[HISTORY]) ? decodeHistory(message[HISTORY]) : undefined,
 });
 
 /** The form of a vote. */
--- a/src/consensus/proposer.ts
+++ b/src/consensus/proposer.ts
@@ -7,7 +7,7 @@
 import { sleep, type Clock } from "../common/clock.js";
 import { MILLISECOND_US } from "../common/duration.js";
 import type { Message } from "../transport/connection.js";
-import { isHigherBallot, isSameBallot, type Ballot } from "./ballot.js";
+import { isSameBallot, type Ballot } from "./ballot.js";
 import {
   CollisionError,
   StaleTermError,
@@ -16,7 +16,8 @@
   type PhaseError,
 } from "./errors.js";
 import type { LocalReplica } from "./local-replica.js";
-import type { EntryReport, Incarnations } from "./message-types.js";
+import { resolveCalls, type CallResolution } from "./call-resolution.js";
+import type { EntryReport, Incarnations, PrepareResponse } from "./message-types.js";
 import {
   decodePrepareResponse,
   decodeRejection,
@@ -42,18 +43,27 @@
 /** No attempt begins later than this after the call. */
 const MAX_RETRY_TIME_US = 900 * MILLISECOND_US;
 const MAX_RETRIES = 40;
+/** How often keys are added to a ballot since their items were proposed together. */
+const MAX_PREPARE_ROUNDS = 4;
 const FIRST_BACKOFF_US = 8 * MILLISECOND_US;
 const MAX_BACKOFF_US = 200 * MILLISECOND_US;
 
-/** A ballot that a quorum has promised, with what was accepted before it. */
+/** A ballot that a quorum has promised, with what stands below it. */
 export interface PreparedBallot {
   readonly ballot: Ballot;
   readonly voterSet: VoterSet;
-  /** By key, what was accepted at the highest ballot. */
+  /** Those asked for, and those whose items were proposed together with theirs. */
+  readonly keys: readonly string[];
+  /** By key, what was accepted at the highest ballot, without calls that were overruled. */
   readonly found: ReadonlyMap<string, EntryReport>;
   readonly incarnations: Incarnations;
 }
 
+/** A ballot that a quorum has promised, and what the promises come to. */
+interface PromisedBallot extends Pick<PreparedBallot, "ballot" | "voterSet" | "incarnations"> {
+  readonly resolution: CallResolution;
+}
+
 /** What stands under a key, as a prepared ballot found it. */
 export const registerFoundBy = (prepared: PreparedBallot, key: string): Register | undefined => {
   const report = prepared.found.get(key);
@@ -91,11 +101,31 @@
 export class Proposer {
   constructor(private readonly options: ProposerOptions) {}
 
-  /** Asks for promises; ok once a quorum of each set has given them. */
+  /**
+   * Asks for promises; ok once a quorum of each set has given them. Where items of these keys were
+   * proposed together with others, the others are prepared too.
+   */
   readonly prepare = async (
     keys: readonly string[],
     term?: Term,
   ): Promise<Result<PreparedBallot, PhaseError>> => {
+    let allKeys: ReadonlySet<string> = new Set(keys);
+    for (let round = 0; round < MAX_PREPARE_ROUNDS; round += 1) {
+      const prepared = await this.prepareKeys([...allKeys], term);
+      if (prepared.isErr) return err(prepared.error);
+      const { resolution, ...promised } = prepared.value;
+      if (resolution.kind === "resolved")
+        return ok({ ...promised, keys: [...allKeys], found: resolution.found });
+      allKeys = new Set([...allKeys, ...resolution.missingKeys]);
+    }
+    return err(new CollisionError(false));
+  };
+
+  /** One round of promises for these keys alone. */
+  private readonly prepareKeys = async (
+    keys: readonly string[],
+    term: Term | undefined,
+  ): Promise<Result<PromisedBallot, PhaseError>> => {
     const { local } = this.options;
     const { voterSet } = local;
     const ballot = local.nextBallot();
@@ -103,7 +133,7 @@
     const knownBallots = entries.map((entry) => entry.ballot);
     const own = new Map(entries.map((entry) => [entry.key, entry]));
     const incarnations = new Map<string, string>();
-    const found = new Map<string, EntryReport>();
+    const responses: PrepareResponse[] = [];
     const promised = await this.runPhase({
       voterSet,
       message: encodePrepareRequest({
@@ -119,14 +149,14 @@
       onResponse: (id, response) => {
         const promise = decodePrepareResponse(response);
         incarnations.set(id, promise.incarnation);
-        promise.entries.forEach((report) => keepHighest(found, report, own.get(report.key)));
+        responses.push({ ...promise, entries: promise.entries.map(withOwnRegister(own)) });
       },
     });
     return promised.map(() => ({
       ballot,
       voterSet,
-      found: new Map(found),
       incarnations: new Map(incarnations),
+      resolution: resolveCalls(new Set(keys), responses),
     }));
   };
 
@@ -223,18 +253,12 @@
   };
 }
 
-/**
- * Keeps the report with the higher ballot; a register that was left out is the one that the
- * proposer holds.
- */
-const keepHighest = (
-  found: Map<string, EntryReport>,
-  report: EntryReport,
-  own: Entry | undefined,
-): void => {
-  const known = found.get(report.key);
-  if (known && !isHigherBallot(report.ballot, known.ballot)) return;
-  const isOwn =
-    report.register === "unchanged" && own !== undefined && isSameBallot(own.ballot, report.ballot);
-  found.set(report.key, isOwn ? { ...report, register: own.register } : report);
-};
+/** A register that was left out of a report is the one that the proposer held. */
+const withOwnRegister =
+  (own: ReadonlyMap<string, Entry>) =>
+  (report: EntryReport): EntryReport => {
+    const entry = own.get(report.key);
+    const isOwn =
+      report.register === "unchanged" && entry && isSameBallot(entry.ballot, report.ballot);
+    return isOwn ? { ...report, register: entry.register } : report;
+  };
--- a/src/consensus/record-codec.ts
+++ b/src/consensus/record-codec.ts
@@ -5,6 +5,8 @@
  */
 import { asList, asRecord, asString, readList, type UnknownRecord } from "../common/decode.js";
 import { decodeBallot, encodeBallot, isHigherBallot, NO_BALLOT, type Ballot } from "./ballot.js";
+import { decodeCall, encodeCall } from "./call-codec.js";
+import type { ProposedCall } from "./proposal-history.js";
 import { decodeRegister, encodeRegister, type Register } from "./register.js";
 import { decodeVoterSet, encodeVoterSet, type VoterSet } from "./voter-set.js";
 
@@ -40,6 +42,9 @@
   | { readonly type: "floor"; readonly ballot: Ballot }
   | { readonly type: "promise"; readonly ballot: Ballot; readonly keys: readonly string[] }
   | { readonly type: "vote"; readonly ballot: Ballot; readonly items: readonly Item[] }
+  | { readonly type: "call"; readonly call: ProposedCall }
+  /** Like learned ones; versions before the history of proposals don't know the type. */
+  | { readonly type: "earlier"; readonly entries: readonly Entry[] }
   | { readonly type: "learned"; readonly entries: readonly Entry[] }
   | { readonly type: "voter-set"; readonly voterSet: VoterSet }
   | { readonly type: "proposal"; readonly proposal: VoterSetProposal }
@@ -50,6 +55,8 @@
 const FLOOR = "floor";
 const PROMISE = "promise";
 const VOTE = "vote";
+const CALL = "call";
+const EARLIER = "earlier";
 const LEARNED = "learned";
 const VOTER_SET = "roster";
 const PROPOSAL = "pending";
@@ -124,6 +131,18 @@
   items: items.map(encodeItem),
 });
 
+/** These items were proposed together and are not known to be committed. */
+export const callRecord = (call: ProposedCall): UnknownRecord => ({
+  [TYPE]: CALL,
+  ...encodeCall(call),
+});
+
+/** Entries that this replica held before those that it holds now. */
+export const earlierRecord = (entries: readonly Entry[]): UnknownRecord => ({
+  [TYPE]: EARLIER,
+  [ROWS]: entries.map(encodeEntry),
+});
+
 /** Entries that others hold, or all of this replica's own. */
 export const learnedRecord = (entries: readonly Entry[]): UnknownRecord => ({
   [TYPE]: LEARNED,
@@ -186,6 +205,10 @@
         ballot: decodeBallot(record[BALLOT]),
         items: readList(record, "items", decodeItem),
       };
+    case CALL:
+      return { type: "call", call: decodeCall(record) };
+    case EARLIER:
+      return { type: "earlier", entries: readList(record, ROWS, decodeEntry) };
     case LEARNED:
       return { type: "learned", entries: readList(record, ROWS, decodeEntry) };
     case VOTER_SET:
--- a/src/consensus/register-writer.ts
+++ b/src/consensus/register-writer.ts
@@ -58,6 +58,12 @@
   return { next, duplicates, error };
 };
 
+/** What stands, under each key of which anything is known. */
+const itemsFoundBy = (prepared: PreparedBallot): readonly Item[] =>
+  prepared.keys
+    .filter((key) => prepared.found.has(key))
+    .map((key): Item => [key, registerFoundBy(prepared, key)]);
+
 /**
  * A rejection promises that no part of the call is ever in force; it can't where parts of it were
  * proposed.
@@ -97,7 +103,7 @@
       const prepared = await proposer.prepare(keys);
       if (prepared.isErr) return err(prepared.error);
       const current: Contents = new Map(
-        keys.map((key) => [key, registerFoundBy(prepared.value, key)]),
+        prepared.value.keys.map((key) => [key, registerFoundBy(prepared.value, key)]),
       );
       const { next, duplicates, ...applied } = applyWrites(writes, current);
       let error: ReplicatedStoreError | undefined = applied.error;
@@ -143,9 +149,10 @@
       const current = registerFoundBy(prepared.value, key);
       const body = makeBody(current);
       result = body === undefined ? current : makeRegister(key, (current?.version ?? 0) + 1, body);
+      const others = itemsFoundBy(prepared.value).filter(([other]) => other !== key);
       return body === undefined
         ? ok(undefined)
-        : proposer.accept(prepared.value, [[key, result]], term);
+        : proposer.accept(prepared.value, [...others, [key, result]], term);
     });
     return done.map(() => result);
   };
@@ -155,17 +162,18 @@
     keys: readonly string[],
   ): Promise<Result<void, ReplicatedStoreError>> => {
     const { proposer } = this.options;
-    for (let at = 0; at < keys.length; at += RECOMMIT_BATCH) {
-      const batch = keys.slice(at, at + RECOMMIT_BATCH);
+    const remaining = new Set(keys);
+    while (remaining.size > 0) {
+      const batch = [...remaining].slice(0, RECOMMIT_BATCH);
       const done = await proposer.withRetries(async () => {
         const prepared = await proposer.prepare(batch);
         if (prepared.isErr) return err(prepared.error);
-        const items = batch
-          .filter((key) => prepared.value.found.has(key))
-          .map((key): Item => [key, registerFoundBy(prepared.value, key)]);
+        prepared.value.keys.forEach((key) => remaining.delete(key));
+        const items = itemsFoundBy(prepared.value);
         return items.length === 0 ? ok(undefined) : proposer.accept(prepared.value, items);
       });
       if (done.isErr) return err(done.error);
+      batch.forEach((key) => remaining.delete(key));
     }
     return ok(undefined);
   };
--- a/src/consensus/register.ts
+++ b/src/consensus/register.ts
@@ -59,16 +59,17 @@
   pastFrom: 0,
 });
 
+/** @throws DecodeError where it is no list of versions with their digests */
+export const decodePast = (value: unknown): readonly Past[] =>
+  asList(value, "past").map((row): Past => [
+    asNumber(asList(row, "past")[0]),
+    asString(asList(row, "past")[1]),
+  ]);
+
 /** @throws DecodeError where a field is missing or of another type */
 export const decodeRegister = (value: unknown): Register => {
   const record = asRecord(value, "register");
-  const past =
-    record["past"] === undefined
-      ? []
-      : asList(record["past"], "past").map((row): Past => [
-          asNumber(asList(row, "past")[0]),
-          asString(asList(row, "past")[1]),
-        ]);
+  const past = record["past"] === undefined ? [] : decodePast(record["past"]);
   const pastFrom = record["pastFrom"] === undefined ? 0 : readNumber(record, "pastFrom");
   return {
     ...makeRegister(
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -6,8 +6,12 @@
 import type { UnknownRecord } from "../common/decode.js";
 import { higherBallot, isHigherBallot, isSameBallot, NO_BALLOT, type Ballot } from "./ballot.js";
 import { BucketHashes, bucketOf } from "./bucket-hashes.js";
+import type { HistoryReport } from "./message-types.js";
+import { ProposalHistory, stampsOf, type ProposedCall } from "./proposal-history.js";
 import {
+  callRecord,
   decodeRecord,
+  earlierRecord,
   encodeProposal,
   floorRecord,
   learnedRecord,
@@ -78,6 +82,8 @@
   >();
   /** Invariant: the keys whose entry is not known to be committed. */
   private readonly uncommitted = new Set<string>();
+  /** Of what is uncommitted: the calls that proposed it, and what was held before. */
+  private readonly history = new ProposalHistory();
   private readonly hashes = new BucketHashes();
   /** Nothing is accepted below it, whatever the key. */
   private floor = NO_BALLOT;
@@ -119,6 +125,26 @@
   /** The keys whose entry is not known to be committed. */
   readonly uncommittedKeys = (): readonly string[] => [...this.uncommitted];
 
+  /**
+   * The calls that uncommitted entries of these keys belong to, and what was held before them;
+   * undefined where there is none.
+   */
+  readonly historyOf = (keys: readonly string[]): HistoryReport | undefined => {
+    const calls = new Set<ProposedCall>();
+    const earlier: Entry[] = [];
+    const forgottenKeys: string[] = [];
+    keys.forEach((key) => {
+      const before = this.history.earlierOf(key);
+      if (!before) forgottenKeys.push(key);
+      [this.entry(key), ...(before ?? [])].forEach(({ ballot, isCommitted }) => {
+        const call = isCommitted ? undefined : this.history.callAt(ballot);
+        if (call) calls.add(call);
+      });
+      earlier.push(...(before ?? []));
+    });
+    return calls.size === 0 ? undefined : { calls: [...calls], earlier, forgottenKeys };
+  };
+
   /** Below this nothing is accepted: what was promised, and what is held. */
   readonly promisedFor = (key: string): Ballot => {
     const { promised, ballot } = this.entry(key);
@@ -163,6 +189,7 @@
 
   /** Accepts at a ballot that nothing higher was promised against; the caller has checked that. */
   readonly accept = (ballot: Ballot, items: readonly Item[]): readonly UnknownRecord[] => {
+    this.history.addCall({ ballot, items: stampsOf(items) });
     items.forEach(([key, register]) =>
       this.put({ key, promised: ballot, ballot, register, isAccepted: true, isCommitted: false }),
     );
@@ -191,7 +218,7 @@
       if (entry.isCommitted || ballot.number === 0 || !isSameBallot(entry.ballot, ballot))
         return [];
       this.entries.set(key, { ...entry, isCommitted: true });
-      this.uncommitted.delete(key);
+      this.settle(key);
       return this.recordCommitted(entry) && entry.register ? [entry.register] : [];
     });
   };
@@ -243,6 +270,7 @@
    * must follow.
    */
   readonly dropUncommitted = (): void => {
+    this.history.clear();
     [...this.entries.values()].forEach((entry) => {
       this.hashes.toggle(entry.key, entry.ballot);
       this.entries.delete(entry.key);
@@ -261,9 +289,21 @@
     ...(this.currentVoterSet.number > 0 ? [voterSetRecord(this.currentVoterSet)] : []),
     ...(this.proposal ? [encodeProposal(this.proposal)] : []),
     learnedRecord([...this.entries.values()]),
+    // Behind the entries: a replica forgets the history once it holds nothing uncommitted.
+    ...this.historyRecords(),
     ...(this.voting ? [votingRecord()] : []),
   ];
 
+  /** The calls of what is uncommitted, and what was held before it. */
+  private readonly historyRecords = (): readonly UnknownRecord[] => {
+    const history = this.historyOf(this.uncommittedKeys());
+    const earlier = this.history.allEarlier();
+    return [
+      ...(history?.calls ?? []).map(callRecord),
+      ...(earlier.length === 0 ? [] : [earlierRecord(earlier)]),
+    ];
+  };
+
   /** Applies one record from the disk. */
   readonly replay = (stored: UnknownRecord): void => {
     const record = decodeRecord(stored);
@@ -277,6 +317,10 @@
       case "vote":
         this.accept(record.ballot, record.items);
         break;
+      case "call":
+        this.history.addCall(record.call);
+        break;
+      case "earlier":
       case "learned":
         record.entries.forEach(this.put);
         break;
@@ -303,6 +347,8 @@
     if (entry.isCommitted) this.recordCommitted(entry);
     if (!tellsMore(entry, before)) {
       if (promised !== before.promised) this.entries.set(entry.key, { ...before, promised });
+      if (isHigherBallot(before.ballot, entry.ballot) && !before.isCommitted)
+        this.history.addEarlier(entry);
       return false;
     }
     const isSame = isSameBallot(entry.ballot, before.ballot);
@@ -319,11 +365,23 @@
       this.hashes.toggle(before.key, before.ballot);
       this.hashes.toggle(now.key, now.ballot);
     }
-    if (now.isCommitted) this.uncommitted.delete(now.key);
-    else this.uncommitted.add(now.key);
+    if (now.isCommitted) this.settle(now.key);
+    else this.noteUncommitted(now, before);
     return true;
   };
 
+  private readonly noteUncommitted = (now: Entry, before: Entry): void => {
+    this.uncommitted.add(now.key);
+    if (!isSameBallot(now.ballot, before.ballot)) this.history.addEarlier(before);
+  };
+
+  /** What is held under the key is known to be committed: what came before no longer matters. */
+  private readonly settle = (key: string): void => {
+    this.uncommitted.delete(key);
+    this.history.settle(key);
+    if (this.uncommitted.size === 0) this.history.clear();
+  };
+
   /** True if it is newer than what was known to be committed under the key. */
   private readonly recordCommitted = ({ key, ballot, register }: Entry): boolean => {
     const known = this.committed.get(key);
