Soak: real programs over loopback under signals, restarts and changes

Change: npm run soak plays seeded schedules on controllers and gateways with stand-in workers, clients that keep their connections, and an operator; six checks read what was recorded, each with defects that it is shown to find. Not yet: streams, long bodies, keyed requests, a cache, empty data folders, replaced controllers, workers that drain and leave, descriptors and memory, the time after a client left.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -87,6 +87,7 @@
           "./fuzz/tsconfig.json",
           "./simulator/tsconfig.json",
           "./chaos/tsconfig.json",
+          "./soak/tsconfig.json",
         ],
         tsconfigRootDir: import.meta.dirname,
       },
--- /dev/null
+++ b/soak/bounds.ts
@@ -0,0 +1,9 @@
+/** The bounds that the soak's programs are set to, and that its checks judge by, in microseconds. */
+export const BOUNDS = {
+  heartbeatUs: 1_000_000,
+  drainUs: 2_000_000,
+  graceUs: 5_000_000,
+  applyUs: 2_000_000,
+  contactUs: 3_000_000,
+  confirmUs: 4_000_000,
+} as const;
--- /dev/null
+++ b/soak/client.ts
@@ -0,0 +1,103 @@
+/** Clients that keep using their open connections until the gateway closes them. */
+import { Agent, request, type IncomingMessage } from "node:http";
+import type { HistoryRecorder } from "./history.js";
+import type { Program } from "./program.js";
+import type { RandomDraws } from "./random-draws.js";
+
+const TIME_LEFT_MS = 2_000;
+const CONNECTIONS = 3;
+const HOST = "soak.example";
+
+/** Where a request goes. */
+export interface ClientRoute {
+  readonly path: string;
+  readonly isProbe: boolean;
+  readonly isSafe: boolean;
+}
+
+/** The routes that clients call. */
+export const CLIENT_ROUTES: readonly ClientRoute[] = [
+  { path: "/safe/", isProbe: false, isSafe: true },
+  { path: "/unsafe/", isProbe: false, isSafe: false },
+  { path: "/probe/", isProbe: true, isSafe: true },
+];
+
+/** What the clients of one gateway are made with. */
+export interface ClientOptions {
+  readonly gateway: Program;
+  readonly history: HistoryRecorder;
+  readonly nowUs: () => number;
+  readonly random: RandomDraws;
+  readonly seed: number;
+  /** Milliseconds between requests. */
+  readonly gapMs: number;
+}
+
+/** Sends requests to one gateway at a bounded rate. */
+export class Client {
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS });
+  private timer: NodeJS.Timeout | undefined;
+  private count = 0;
+
+  constructor(private readonly options: ClientOptions) {}
+
+  readonly start = (): void => {
+    this.timer = setInterval(this.send, this.options.gapMs);
+  };
+
+  readonly stop = (): void => {
+    clearInterval(this.timer);
+    this.agent.destroy();
+  };
+
+  private readonly send = (): void => {
+    const { gateway, nowUs, random, seed } = this.options;
+    this.count += 1;
+    const route = random.pick(CLIENT_ROUTES);
+    const attemptId = `${seed}-${gateway.name}-${this.count}`;
+    const sentUs = nowUs();
+    let hasResponse = false;
+    let hasEnded = false;
+    const end = (response?: IncomingMessage, body = ""): void => {
+      if (hasEnded) return;
+      hasEnded = true;
+      this.options.history.requests.push({
+        attemptId,
+        gateway: gateway.name,
+        isProbe: route.isProbe,
+        isSafe: route.isSafe,
+        sentUs,
+        endedUs: nowUs(),
+        status: response?.complete === true ? response.statusCode : undefined,
+        hasSeal: response?.headers["yewreel-server-seal"] !== undefined,
+        body,
+      });
+    };
+    const call = request(
+      `http://${gateway.front}${route.path}x`,
+      {
+        method: route.isSafe ? "GET" : "POST",
+        agent: this.agent,
+        headers: {
+          Host: HOST,
+          "Yewreel-Try-Id": attemptId,
+          "Yewreel-Time-Left-Ms": String(TIME_LEFT_MS),
+        },
+      },
+      (response) => {
+        hasResponse = true;
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("error", () => undefined);
+        response.on("close", () => end(response, Buffer.concat(chunks).toString()));
+      },
+    );
+    const endWithoutResponse = (): void => {
+      if (!hasResponse) end();
+    };
+    call.setTimeout(TIME_LEFT_MS * 2, () => call.destroy());
+    call.on("error", endWithoutResponse);
+    call.on("close", endWithoutResponse);
+    call.end();
+  };
+}
--- /dev/null
+++ b/soak/http-call.ts
@@ -0,0 +1,39 @@
+/** One call of a program's HTTP API. */
+import { request } from "node:http";
+
+/** What a call was answered with. */
+export interface ApiReply {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Undefined where no complete answer comes within the time-out. */
+export const callApi = (
+  address: string,
+  method: string,
+  path: string,
+  body: string,
+  timeoutMs: number,
+): Promise<ApiReply | undefined> =>
+  new Promise((resolve) => {
+    const call = request(
+      `http://${address}${path}`,
+      { method, agent: false, headers: { "Content-Length": Buffer.byteLength(body) } },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("error", () => resolve(undefined));
+        response.on("close", () =>
+          resolve(
+            response.complete
+              ? { status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }
+              : undefined,
+          ),
+        );
+      },
+    );
+    const timer = setTimeout(() => call.destroy(), timeoutMs);
+    call.on("error", () => resolve(undefined));
+    call.on("close", () => clearTimeout(timer));
+    call.end(body);
+  });
--- /dev/null
+++ b/soak/operator.ts
@@ -0,0 +1,154 @@
+/** The operator: changes the configuration in series, and reads it back. */
+import { asRecord, parseJson, readList, readNumber, readString } from "../src/common/decode.js";
+import { CLIENT_ROUTES } from "./client.js";
+import type { HistoryRecorder } from "./history.js";
+import { callApi, type ApiReply } from "./http-call.js";
+import type { Program } from "./program.js";
+import type { RandomDraws } from "./random-draws.js";
+
+const HOST = "soak.example";
+const PROBE_ROUTE = "r-probe";
+const CALL_TIMEOUT_MS = 1_500;
+const MAX_CALLS = 8;
+const RETRY_PAUSE_MS = 200;
+/** Statuses that end a change at once: it is not and will not be in force. */
+const REFUSALS = new Set([400, 409, 412, 413, 422]);
+
+/** What the operator works with. */
+export interface OperatorOptions {
+  readonly controllers: readonly Program[];
+  readonly services: readonly string[];
+  readonly history: HistoryRecorder;
+  readonly nowUs: () => number;
+  readonly random: RandomDraws;
+}
+
+const ruleOf = (
+  name: string,
+  version: number,
+  service: string,
+  { path, isSafe }: { readonly path: string; readonly isSafe: boolean },
+) => ({
+  name,
+  routeKind: isSafe ? "safe" : "unsafe",
+  target_time: "500ms",
+  rank: 1,
+  version,
+  matchOn: { pathStart: path },
+  then: { service, giveUp: "2000ms", tries: 2 },
+});
+
+const pause = (waitMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, waitMs));
+
+/** Sends changes one after the other; one without a clear answer goes to the next controller. */
+export class Operator {
+  private version = 1;
+  private readonly names = CLIENT_ROUTES.map(({ path }) => `r-${path.replaceAll("/", "")}`);
+
+  constructor(private readonly options: OperatorOptions) {}
+
+  /** The first configuration; throws where no controller takes it. */
+  readonly applyFirst = async (): Promise<void> => {
+    const { services, history, nowUs } = this.options;
+    const [service = ""] = services;
+    const sentUs = nowUs();
+    const rules = CLIENT_ROUTES.map((route, at) =>
+      ruleOf(this.names[at] ?? "", this.version, service, route),
+    );
+    const groups = services.map((name) => ({
+      name,
+      statusPath: "/health",
+      maxConnections: 200,
+      version: 1,
+    }));
+    const limits = {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1e6,
+      headerWait: "3s",
+      idle: "15s",
+      version: 1,
+    };
+    const put = { limits, listeners: [{ host: HOST, rules }], groups };
+    for (let attempt = 0; attempt < 10; attempt += 1) {
+      const acknowledgedUs = await this.send({ putItems: put });
+      if (acknowledgedUs === undefined) continue;
+      history.changes.push({ version: this.version, service, sentUs, acknowledgedUs });
+      return;
+    }
+    throw new Error("no controller took the first configuration");
+  };
+
+  /** Moves the probe's route to another service. Resolves to whether it was acknowledged. */
+  readonly moveProbe = async (): Promise<boolean> => {
+    const { services, history, nowUs } = this.options;
+    this.version += 1;
+    const { version } = this;
+    const service = services[version % services.length] ?? "";
+    const sentUs = nowUs();
+    const probe = CLIENT_ROUTES.findIndex(({ isProbe }) => isProbe);
+    const route = CLIENT_ROUTES[probe];
+    if (!route) return false;
+    const rules = [ruleOf(PROBE_ROUTE, version, service, route)];
+    const acknowledgedUs = await this.send({ putItems: { listeners: [{ host: HOST, rules }] } });
+    history.changes.push({ version, service, sentUs, acknowledgedUs });
+    return acknowledgedUs !== undefined;
+  };
+
+  /** Adds many routes at once. */
+  readonly addRoutes = async (count: number): Promise<void> => {
+    const { services, history } = this.options;
+    this.version += 1;
+    const { version } = this;
+    const names = Array.from({ length: count }, (_, at) => `r-large-${version}-${at}`);
+    const rules = names.map((name) =>
+      ruleOf(name, version, services[0] ?? "", { path: `/${name}/`, isSafe: true }),
+    );
+    const acknowledgedUs = await this.send({ putItems: { listeners: [{ host: HOST, rules }] } });
+    history.largeChanges.push({ routes: names, acknowledgedUs });
+  };
+
+  /** Sends a change that is invalid. Resolves to whether it was refused, or not answered at all. */
+  readonly sendInvalid = async (): Promise<boolean> => {
+    const rules = [ruleOf("r-wrong", 1, "no-such-service", { path: "/wrong/", isSafe: true })];
+    return (await this.send({ putItems: { listeners: [{ host: HOST, rules }] } })) === undefined;
+  };
+
+  /** Reads the configuration from one controller. */
+  readonly read = async (controller: Program): Promise<void> => {
+    const { history, nowUs } = this.options;
+    const startUs = nowUs();
+    const reply = await callApi(controller.control, "GET", "/plan/read", "", CALL_TIMEOUT_MS);
+    if (reply?.status !== 200) return;
+    const rules = readList(asRecord(parseJson(reply.body)), "listeners", (value) =>
+      readList(asRecord(value), "rules", (rule) => asRecord(rule)),
+    ).flat();
+    const probe = rules.find((rule) => rule["name"] === PROBE_ROUTE);
+    history.reads.push({
+      controller: controller.name,
+      startUs,
+      probeVersion: probe ? readNumber(probe, "version") : 0,
+      routes: new Set(rules.map((rule) => readString(rule, "name"))),
+    });
+  };
+
+  /** When the change was acknowledged; undefined where it was refused or never answered clearly. */
+  private readonly send = async (change: unknown): Promise<number | undefined> => {
+    const { controllers, nowUs, random } = this.options;
+    const body = JSON.stringify(change);
+    for (let call = 0; call < MAX_CALLS; call += 1) {
+      const { control } = random.pick(controllers);
+      const reply: ApiReply | undefined = await callApi(
+        control,
+        "POST",
+        "/plan/change",
+        body,
+        CALL_TIMEOUT_MS,
+      );
+      if (reply?.status === 200) return nowUs();
+      if (reply && REFUSALS.has(reply.status)) return undefined;
+      await pause(RETRY_PAUSE_MS);
+    }
+    return undefined;
+  };
+}
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,103 @@
+/**
+ * `npm run soak`: plays seeds on real programs over loopback and ends with code 1 if a check finds
+ * something, 3 if too much had to be left out for the machine's own delays, 2 for wrong options.
+ */
+import { writeFile } from "node:fs/promises";
+import { Command } from "commander";
+import { CHECKS } from "./checks.js";
+import { drawSchedule } from "./schedule.js";
+import { playSoak } from "./soak-run.js";
+
+const FOUND = 1;
+const WRONG_OPTIONS = 2;
+const INCONCLUSIVE = 3;
+const INTERRUPTED = 130;
+/** With more than this part of the observations left out a run tells nothing. */
+const MAX_SKIPPED_FRACTION = 0.05;
+const MAX_GATEWAYS = 200;
+
+/** What is told of one seed. */
+interface SeedReport {
+  readonly seed: number;
+  readonly requests: number;
+  readonly changes: number;
+  readonly signals: number;
+  readonly judged: number;
+  readonly skipped: number;
+  readonly violations: readonly string[];
+  /** Where the programs' output is; empty where nothing was found. */
+  readonly folder: string;
+}
+
+const runSeed = async (seed: number, durationMs: number, gateways: number): Promise<SeedReport> => {
+  const schedule = drawSchedule(seed, durationMs);
+  const { history, failures, folder } = await playSoak({ schedule, gateways, keepsFiles: true });
+  const results = Object.entries(CHECKS).map(([name, check]) => ({ name, ...check(history) }));
+  const found = results.flatMap(({ name, violations }) =>
+    violations.map((violation) => `${name}: ${violation}`),
+  );
+  return {
+    seed,
+    requests: history.requests.length,
+    changes: history.changes.length + history.largeChanges.length,
+    signals: history.disturbances.length,
+    judged: results.reduce((sum, { judged }) => sum + judged, 0),
+    skipped: results.reduce((sum, { skipped }) => sum + skipped, 0),
+    violations: [...failures.map((failure) => `failure: ${failure}`), ...found],
+    folder,
+  };
+};
+
+const lineOf = (report: SeedReport): string => {
+  const { seed, requests, changes, signals, judged, skipped, violations, folder } = report;
+  const counts = `${requests} requests, ${changes} changes, ${signals} signals, ${judged} judged, ${skipped} skipped`;
+  const found = violations.slice(0, 10).map((violation) => `\n  ${violation}`);
+  const where = violations.length > 0 ? `\n  output: ${folder}` : "";
+  return `seed ${seed}: ${counts}, ${violations.length} found${found.join("")}${where}\n`;
+};
+
+const exitCodeOf = (reports: readonly SeedReport[]): number => {
+  if (reports.some(({ violations }) => violations.length > 0)) return FOUND;
+  const judged = reports.reduce((sum, report) => sum + report.judged, 0);
+  const skipped = reports.reduce((sum, report) => sum + report.skipped, 0);
+  return skipped > (judged + skipped) * MAX_SKIPPED_FRACTION ? INCONCLUSIVE : 0;
+};
+
+const run = async (options: Readonly<Record<string, string>>): Promise<void> => {
+  const [seeds, from, seconds, gateways] = ["seeds", "from", "seconds", "gateways"].map((name) =>
+    Number(options[name]),
+  );
+  const areWhole = [seeds, from, seconds, gateways].every(
+    (value): value is number => value !== undefined && Number.isSafeInteger(value) && value > 0,
+  );
+  if (!areWhole || !seeds || !from || !seconds || !gateways || gateways > MAX_GATEWAYS) {
+    process.stderr.write(
+      `soak: seeds, from, seconds and gateways are whole numbers from 1 on, gateways up to ${MAX_GATEWAYS}\n`,
+    );
+    process.exitCode = WRONG_OPTIONS;
+    return;
+  }
+  const reports: SeedReport[] = [];
+  for (let seed = from; seed < from + seeds; seed += 1) {
+    const report = await runSeed(seed, seconds * 1_000, gateways);
+    reports.push(report);
+    process.stdout.write(lineOf(report));
+  }
+  const { json } = options;
+  if (json !== undefined)
+    await writeFile(json, `${JSON.stringify({ options, reports }, null, 1)}\n`);
+  process.exitCode = exitCodeOf(reports);
+};
+
+process.on("SIGINT", () => process.exit(INTERRUPTED));
+process.on("SIGTERM", () => process.exit(INTERRUPTED));
+await new Command("soak")
+  .description("plays seeded schedules on real programs over loopback and checks what was seen")
+  .option("--seeds <n>", "how many seeds are played, one after the other", "3")
+  .option("--from <seed>", "the first of them; --seeds 1 plays one again", "1")
+  .option("--seconds <n>", "how long each is", "20")
+  .option("--gateways <n>", "how many gateways there are, beside three controllers", "4")
+  .option("--json <file>", "writes the reports there")
+  .addHelpText("after", "\nExit codes: 0 nothing found, 1 found, 2 wrong options, 3 inconclusive.")
+  .action(run)
+  .parseAsync();
--- /dev/null
+++ b/soak/soak-run.ts
@@ -0,0 +1,247 @@
+/** Plays one schedule on real programs over loopback, and gives what was recorded. */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { messageOf } from "../src/common/errors.js";
+import { BOUNDS } from "./bounds.js";
+import { Client } from "./client.js";
+import { HistoryRecorder, type Disturbance, type History } from "./history.js";
+import { callApi } from "./http-call.js";
+import { Operator } from "./operator.js";
+import { Program } from "./program.js";
+import { RandomDraws } from "./random-draws.js";
+import type { Action, SoakSchedule } from "./schedule.js";
+import { Worker } from "./worker.js";
+
+const CONTROLLERS = 3;
+const SERVICES = ["s0", "s1", "s2", "s3"] as const;
+const WORKERS_A_SERVICE = 2;
+const CLIENT_GAP_MS = 40;
+const LARGE_CHANGE_ROUTES = 1_200;
+const FREEZE_MS = 1_200;
+const RESTART_MS = 300;
+const START_TIMEOUT_MS = 20_000;
+const POLL_MS = 100;
+const DELAY_CHECK_MS = 50;
+/** A plain timer that is so late shows that the machine, not a program, was slow. */
+const MACHINE_DELAY_US = 250_000;
+
+/** What a run is made with. */
+export interface SoakRunOptions {
+  readonly schedule: SoakSchedule;
+  /** How many gateways there are. */
+  readonly gateways: number;
+  /** Whether the programs' files are kept afterwards. */
+  readonly keepsFiles: boolean;
+}
+
+/** What a run gives. */
+export interface SoakRunResult {
+  readonly history: History;
+  /** What did not come about in time, such as a gateway that never became ready again. */
+  readonly failures: readonly string[];
+  /** Where settings, data and output of the programs are, if they were kept. */
+  readonly folder: string;
+}
+
+const pause = (waitMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, waitMs));
+const nowUs = (): number => Math.round(performance.now() * 1_000);
+
+/** The programs, workers, clients and the operator of one run. */
+class SoakFleet {
+  readonly history = new HistoryRecorder();
+  readonly failures: string[] = [];
+  readonly controllers: readonly Program[];
+  readonly gateways: readonly Program[];
+  readonly operator: Operator;
+  private readonly workers: readonly Worker[];
+  private readonly clients: readonly Client[];
+  private readonly random: RandomDraws;
+  private readonly disturbed = new Set<Program>();
+  private delayTimer: NodeJS.Timeout | undefined;
+
+  constructor(folder: string, { schedule, gateways }: SoakRunOptions) {
+    const { seed } = schedule;
+    const { history } = this;
+    this.random = new RandomDraws(seed + 1_000_000);
+    const zones = ["z1", "z2", "z3"];
+    const subnet = 100 + (seed % 100);
+    const controllerIps = Array.from(
+      { length: CONTROLLERS },
+      (_, at) => `127.${subnet}.0.${at + 1}`,
+    );
+    const program = (role: "gateway" | "controller", at: number): Program =>
+      new Program({
+        name: `${role}-${at + 1}`,
+        role,
+        ip: `127.${subnet}.${role === "gateway" ? 1 : 0}.${at + 1}`,
+        zone: zones[at % zones.length] ?? "",
+        zones,
+        controllerIps,
+        folder: join(folder, `${role}-${at + 1}`),
+        history,
+        nowUs,
+      });
+    this.controllers = controllerIps.map((_, at) => program("controller", at));
+    this.gateways = Array.from({ length: gateways }, (_, at) => program("gateway", at));
+    const { random, controllers } = this;
+    this.operator = new Operator({ controllers, services: SERVICES, history, nowUs, random });
+    this.workers = SERVICES.flatMap((service, serviceAt) =>
+      Array.from(
+        { length: WORKERS_A_SERVICE },
+        (_, at) =>
+          new Worker({
+            id: `${service}-${at}`,
+            service,
+            zone: zones[at % zones.length] ?? "",
+            ip: `127.${subnet}.2.${serviceAt * WORKERS_A_SERVICE + at + 1}`,
+            controllers: controllers.map(({ control }) => control),
+            history,
+            nowUs,
+            random,
+          }),
+      ),
+    );
+    this.clients = this.gateways.map(
+      (gateway) => new Client({ gateway, history, nowUs, random, seed, gapMs: CLIENT_GAP_MS }),
+    );
+  }
+
+  /** Starts everything; throws where the gateways aren't ready in time. */
+  readonly start = async (): Promise<void> => {
+    await Promise.all(
+      [...this.controllers, ...this.gateways].map((program) => program.start(true)),
+    );
+    await this.operator.applyFirst();
+    await Promise.all(this.workers.map((worker) => worker.start(BOUNDS.heartbeatUs / 1_000)));
+    await Promise.all(this.gateways.map(this.untilReady));
+    this.watchMachine();
+    this.clients.forEach((client) => client.start());
+  };
+
+  /** Plays the actions, each at its time, whether or not earlier ones have ended. */
+  readonly play = async ({ actions, durationMs }: SoakSchedule): Promise<void> => {
+    const startMs = nowUs() / 1_000;
+    const running: Promise<void>[] = [];
+    for (const action of actions) {
+      await pause(Math.max(0, startMs + action.atMs - nowUs() / 1_000));
+      running.push(
+        this.act(action).catch((error: unknown) => void this.failures.push(messageOf(error))),
+      );
+    }
+    await pause(Math.max(0, startMs + durationMs - nowUs() / 1_000));
+    await Promise.all(running);
+    this.clients.forEach((client) => client.stop());
+    for (const controller of this.controllers) await this.operator.read(controller);
+  };
+
+  readonly close = async (): Promise<void> => {
+    clearInterval(this.delayTimer);
+    this.clients.forEach((client) => client.stop());
+    this.workers.forEach((worker) => worker.close());
+    await Promise.all([...this.controllers, ...this.gateways].map((program) => program.close()));
+  };
+
+  private readonly act = async (action: Action): Promise<void> => {
+    const { operator, controllers, random } = this;
+    switch (action.kind) {
+      case "move-probe":
+        await operator.moveProbe();
+        return;
+      case "add-routes":
+        await operator.addRoutes(LARGE_CHANGE_ROUTES);
+        return;
+      case "send-invalid":
+        await operator.sendInvalid();
+        return;
+      case "read":
+        return operator.read(random.pick(controllers));
+      case "kill-all-controllers":
+        // The worst moment is right after an acknowledgement.
+        await operator.moveProbe();
+        await Promise.all(controllers.map((controller) => this.disturb(controller, "kill")));
+        return;
+      default: {
+        const programs = action.role === "gateway" ? this.gateways : controllers;
+        const program = programs[action.slot % programs.length];
+        if (program) await this.disturb(program, action.kind);
+      }
+    }
+  };
+
+  /** Does something to a program that nothing is being done to, until it is up again. */
+  private readonly disturb = async (
+    program: Program,
+    action: "terminate" | "kill" | "freeze",
+  ): Promise<void> => {
+    if (this.disturbed.has(program)) return;
+    this.disturbed.add(program);
+    const kinds = { terminate: "term", kill: "kill", freeze: "stop" } as const;
+    const disturbance = { process: program.name, kind: kinds[action], fromUs: nowUs() };
+    const open: Disturbance = { ...disturbance, toUs: Number.POSITIVE_INFINITY };
+    this.history.disturbances.push(open);
+    if (action === "freeze") {
+      program.freeze();
+      await pause(FREEZE_MS);
+      program.thaw();
+    } else {
+      await (action === "kill" ? program.kill() : program.terminate());
+      await pause(RESTART_MS);
+      await program.start(false);
+      await this.untilUp(program);
+    }
+    const { disturbances } = this.history;
+    disturbances[disturbances.indexOf(open)] = { ...disturbance, toUs: nowUs() };
+    this.disturbed.delete(program);
+  };
+
+  private readonly untilUp = (program: Program): Promise<void> =>
+    program.options.role === "gateway" ? this.untilReady(program) : this.untilAnswering(program);
+
+  private readonly untilReady = (gateway: Program): Promise<void> =>
+    this.until(gateway.ready, "/ready", [200], `${gateway.name} is ready`);
+
+  private readonly untilAnswering = (controller: Program): Promise<void> =>
+    this.until(controller.control, "/tell/copy", [200], `${controller.name} answers`);
+
+  private readonly until = async (
+    address: string,
+    path: string,
+    statuses: readonly number[],
+    what: string,
+  ): Promise<void> => {
+    const deadlineMs = nowUs() / 1_000 + START_TIMEOUT_MS;
+    while (nowUs() / 1_000 < deadlineMs) {
+      const reply = await callApi(address, "GET", path, "", 1_000);
+      if (reply && statuses.includes(reply.status)) return;
+      await pause(POLL_MS);
+    }
+    throw new Error(`within ${START_TIMEOUT_MS} ms it never came to be that ${what}`);
+  };
+
+  /** A plain timer beside the run tells when the machine itself is late. */
+  private readonly watchMachine = (): void => {
+    let dueUs = nowUs() + DELAY_CHECK_MS * 1_000;
+    this.delayTimer = setInterval(() => {
+      const atUs = nowUs();
+      if (atUs - dueUs > MACHINE_DELAY_US)
+        this.history.machineDelays.push({ fromUs: dueUs, toUs: atUs });
+      dueUs = atUs + DELAY_CHECK_MS * 1_000;
+    }, DELAY_CHECK_MS);
+  };
+}
+
+/** Plays a schedule from the start of all programs to their end. */
+export const playSoak = async (options: SoakRunOptions): Promise<SoakRunResult> => {
+  const folder = await mkdtemp(join(tmpdir(), "yewreel-soak-"));
+  const fleet = new SoakFleet(folder, options);
+  try {
+    await fleet.start();
+    await fleet.play(options.schedule);
+  } finally {
+    await fleet.close();
+    if (!options.keepsFiles) await rm(folder, { recursive: true, force: true });
+  }
+  return { history: fleet.history, failures: fleet.failures, folder };
+};
