--- a/soak/client.ts
+++ b/soak/client.ts
@@ -2,7 +2,7 @@
 import { Agent, request, type IncomingMessage } from "node:http";
 import type { HistoryRecorder } from "./history.js";
 import type { Program } from "./program.js";
-import type { RandomDraws } from "./random-draws.js";
+import type { SeededRandom } from "../simulator/seeded-random.js";
 
 const TIME_LEFT_MS = 2_000;
 const CONNECTIONS = 3;
@@ -27,7 +27,7 @@
   readonly gateway: Program;
   readonly history: HistoryRecorder;
   readonly nowUs: () => number;
-  readonly random: RandomDraws;
+  readonly random: SeededRandom;
   readonly seed: number;
   /** Milliseconds between requests. */
   readonly gapMs: number;
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -4,7 +4,7 @@
 import type { HistoryRecorder } from "./history.js";
 import { callApi, type ApiReply } from "./http-call.js";
 import type { Program } from "./program.js";
-import type { RandomDraws } from "./random-draws.js";
+import type { SeededRandom } from "../simulator/seeded-random.js";
 
 const HOST = "soak.example";
 const PROBE_ROUTE = "r-probe";
@@ -20,7 +20,7 @@
   readonly services: readonly string[];
   readonly history: HistoryRecorder;
   readonly nowUs: () => number;
-  readonly random: RandomDraws;
+  readonly random: SeededRandom;
 }
 
 const ruleOf = (
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -1,5 +1,5 @@
 /** What a run does to its processes and its configuration, drawn from a seed. */
-import { RandomDraws } from "./random-draws.js";
+import { SeededRandom } from "../simulator/seeded-random.js";
 
 /** One thing that is done, and when, in milliseconds from the start. */
 export type Action =
@@ -24,31 +24,40 @@
 const FAULT_GAP_MS = 2_500;
 /** No fault begins so near to the end, so that all are up again when everything is read back. */
 const QUIET_END_MS = 6_000;
+const FAULTS = ["terminate", "kill", "freeze"] as const;
+const ALL_CONTROLLERS_PROBABILITY = 0.1;
+/** Of the other faults, those that hit a gateway. */
+const GATEWAY_PROBABILITY = 0.65;
+const LARGE_CHANGE_PROBABILITY = 0.1;
+const INVALID_PROBABILITY = 0.1;
+/** Slots are taken modulo the number of programs of the role. */
+const MAX_SLOT = 10_000;
 
-const everyMs = (gapMs: number, untilMs: number, random: RandomDraws): readonly number[] => {
+/** Half to one and a half of the mean gap. */
+const nextGapMs = (gapMs: number, random: SeededRandom): number =>
+  gapMs / 2 + random.integer(0, gapMs);
+
+const everyMs = (gapMs: number, untilMs: number, random: SeededRandom): readonly number[] => {
   const times: number[] = [];
-  for (let atMs = random.below(gapMs); atMs < untilMs; atMs += gapMs / 2 + random.below(gapMs))
+  for (let atMs = random.integer(0, gapMs); atMs < untilMs; atMs += nextGapMs(gapMs, random))
     times.push(atMs);
   return times;
 };
 
-const drawFault = (atMs: number, random: RandomDraws): Action => {
-  const draw = random.below(10);
-  if (draw === 0) return { kind: "kill-all-controllers", atMs };
-  const role = draw < 7 ? "gateway" : "controller";
-  const kinds = ["terminate", "kill", "freeze"] as const;
-  return { kind: random.pick(kinds), atMs, role, slot: random.below(16) };
+const drawFault = (atMs: number, random: SeededRandom): Action => {
+  if (random.occurs(ALL_CONTROLLERS_PROBABILITY)) return { kind: "kill-all-controllers", atMs };
+  const role = random.occurs(GATEWAY_PROBABILITY) ? "gateway" : "controller";
+  return { kind: random.pick(FAULTS), atMs, role, slot: random.integer(0, MAX_SLOT) };
 };
 
-const drawChange = (atMs: number, random: RandomDraws): Action => {
-  const draw = random.below(10);
-  if (draw === 0) return { kind: "add-routes", atMs };
-  return { kind: draw === 1 ? "send-invalid" : "move-probe", atMs };
+const drawChange = (atMs: number, random: SeededRandom): Action => {
+  if (random.occurs(LARGE_CHANGE_PROBABILITY)) return { kind: "add-routes", atMs };
+  return { kind: random.occurs(INVALID_PROBABILITY) ? "send-invalid" : "move-probe", atMs };
 };
 
 /** Draws the schedule of a seed. */
 export const drawSchedule = (seed: number, durationMs: number): SoakSchedule => {
-  const random = new RandomDraws(seed);
+  const random = new SeededRandom(seed);
   const actions: Action[] = [
     ...everyMs(CHANGE_GAP_MS, durationMs - 2_000, random).map((atMs) => drawChange(atMs, random)),
     ...everyMs(READ_GAP_MS, durationMs, random).map((atMs): Action => ({ kind: "read", atMs })),
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -9,7 +9,7 @@
 import { callApi } from "./http-call.js";
 import { Operator } from "./operator.js";
 import { Program } from "./program.js";
-import { RandomDraws } from "./random-draws.js";
+import { SeededRandom } from "../simulator/seeded-random.js";
 import type { Action, SoakSchedule } from "./schedule.js";
 import { Worker } from "./worker.js";
 
@@ -57,14 +57,14 @@
   readonly operator: Operator;
   private readonly workers: readonly Worker[];
   private readonly clients: readonly Client[];
-  private readonly random: RandomDraws;
+  private readonly random: SeededRandom;
   private readonly disturbed = new Set<Program>();
   private delayTimer: NodeJS.Timeout | undefined;
 
   constructor(folder: string, { schedule, gateways }: SoakRunOptions) {
     const { seed } = schedule;
     const { history } = this;
-    this.random = new RandomDraws(seed + 1_000_000);
+    this.random = new SeededRandom(seed + 1_000_000);
     const zones = ["z1", "z2", "z3"];
     const subnet = 100 + (seed % 100);
     const controllerIps = Array.from(
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import type { HistoryRecorder } from "./history.js";
 import { callApi } from "./http-call.js";
-import type { RandomDraws } from "./random-draws.js";
+import type { SeededRandom } from "../simulator/seeded-random.js";
 
 const MAX_WORK_MS = 60;
 const CAPACITY = 8;
@@ -20,7 +20,7 @@
   readonly controllers: readonly string[];
   readonly history: HistoryRecorder;
   readonly nowUs: () => number;
-  readonly random: RandomDraws;
+  readonly random: SeededRandom;
 }
 
 const isAddress = (value: AddressInfo | string | null): value is AddressInfo =>
@@ -81,20 +81,26 @@
       response.writeHead(421, { "Yewreel-Worker-Id": id }).end();
       return;
     }
-    if (random.chance(BUSY_FRACTION)) {
+    if (random.occurs(BUSY_FRACTION)) {
       response.writeHead(503, { "Yewreel-Not-Run": "1" }).end();
       return;
     }
     history.runs.push({ attemptId, service, atUs: nowUs() });
-    const isLost = random.chance(LOST_FRACTION);
-    setTimeout(() => {
-      if (isLost) response.destroy();
-      else {
-        const body = `answer to ${attemptId}`;
-        response
-          .writeHead(200, { "Yewreel-Server-Seal": "s", "Content-Length": Buffer.byteLength(body) })
-          .end(body);
-      }
-    }, random.below(MAX_WORK_MS));
+    const isLost = random.occurs(LOST_FRACTION);
+    setTimeout(
+      () => {
+        if (isLost) response.destroy();
+        else {
+          const body = `answer to ${attemptId}`;
+          response
+            .writeHead(200, {
+              "Yewreel-Server-Seal": "s",
+              "Content-Length": Buffer.byteLength(body),
+            })
+            .end(body);
+        }
+      },
+      random.integer(0, MAX_WORK_MS),
+    );
   };
 }
