Updates and workers: wording of today in their modules; no logic

Local names and doc comments of the update store, the subscriber, the worker registry and two settings still had earlier words (fact, told, beat).

--- a/src/common/settings.ts
+++ b/src/common/settings.ts
@@ -164,8 +164,8 @@
   readonly zone: string;
   readonly ip: string;
   /**
-   * Invariant: the first port carries calls between signalboxes and from pointsmen, the second the
-   * relays' news.
+   * Invariant: the first port carries connections between controllers and from nodes, the second
+   * the updates that relays pass on.
    */
   readonly peerPort: number;
   readonly relayPort: number;
@@ -194,7 +194,7 @@
   readonly retryRatio: number;
   readonly retryWindowUs: number;
   readonly retrySlack: number;
-  /** How much later facts may take effect while the core is unsettled. */
+  /** How much later updates may take effect while the controllers are unsettled. */
   readonly stretchUs: number;
   readonly keyWindowUs: number;
   readonly purgeUs: number;
--- a/src/membership/update-store.ts
+++ b/src/membership/update-store.ts
@@ -1,10 +1,12 @@
+/** The updates that one process knows. */
 import Emittery from "emittery";
 import type { Clock } from "../common/clock.js";
 import { asRecord, readString, readNumber, type UnknownRecord } from "../common/decode.js";
 
 /**
- * A fact is what the data plane is told: a plan item held by a quorum, a worker, the ejections.
- * Invariant: for a key the higher (version, tie) wins, so facts may come twice, late and by any
+ * What the data plane is told: a committed configuration item, a worker, the ejections.
+ *
+ * Invariant: for a key the higher (version, tie) wins, so updates may come twice, late and by any
  * way.
  */
 export interface Update {
@@ -24,42 +26,49 @@
   one.version > other.version ||
   (one.version === other.version && one.tie > other.tie);
 
-/** All facts one process knows; merging only goes upward. */
+/** All updates that one process knows; merging only goes upward. */
 export class UpdateStore {
   readonly events = new Emittery<{ changed: readonly Update[]; forgotten: readonly string[] }>();
-  private readonly facts = new Map<string, Update>();
+  private readonly updates = new Map<string, Update>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** How many facts there are. */
+  /** How many updates there are. */
   get size(): number {
-    return this.facts.size;
+    return this.updates.size;
   }
 
-  readonly get = (key: string): Update | undefined => this.facts.get(key);
+  readonly get = (key: string): Update | undefined => this.updates.get(key);
 
-  readonly all = (): readonly Update[] => [...this.facts.values()];
+  readonly all = (): readonly Update[] => [...this.updates.values()];
 
+  /**
+   * Stores what is newer than what is known, and notifies of that.
+   *
+   * @param ageUs - how long ago each was first posted elsewhere
+   */
   readonly post = (
-    facts: readonly NewUpdate[],
-    ageUs: (fact: NewUpdate) => number = () => 0,
+    updates: readonly NewUpdate[],
+    ageUs: (update: NewUpdate) => number = () => 0,
   ): void => {
     const nowUs = this.clock.nowUs();
-    const changed = facts
-      .filter((fact) => outranks(fact, this.facts.get(fact.key)))
-      .map((fact) => ({ ...fact, sinceUs: nowUs - ageUs(fact) }));
-    changed.forEach((fact) => this.facts.set(fact.key, fact));
+    const changed = updates
+      .filter((update) => outranks(update, this.updates.get(update.key)))
+      .map((update) => ({ ...update, sinceUs: nowUs - ageUs(update) }));
+    changed.forEach((update) => this.updates.set(update.key, update));
     if (changed.length > 0) void this.events.emit("changed", changed);
   };
 
+  /** Removes updates, and notifies of those that were there. */
   readonly forget = (keys: readonly string[]): void => {
-    const gone = keys.filter((key) => this.facts.delete(key));
-    if (gone.length > 0) void this.events.emit("forgotten", gone);
+    const removed = keys.filter((key) => this.updates.delete(key));
+    if (removed.length > 0) void this.events.emit("forgotten", removed);
   };
 
-  readonly pack = (facts: readonly Update[]): readonly UnknownRecord[] => {
+  /** The form in messages; ages stand in place of times, which differ between processes. */
+  readonly pack = (updates: readonly Update[]): readonly UnknownRecord[] => {
     const nowUs = this.clock.nowUs();
-    return facts.map(({ key, version, tie, body, sinceUs }) => ({
+    return updates.map(({ key, version, tie, body, sinceUs }) => ({
       key,
       version,
       tie,
@@ -68,20 +77,21 @@
     }));
   };
 
+  /** Posts what `pack` gave. Throws a DecodeError where a field is missing or of another type. */
   readonly merge = (packed: readonly unknown[]): void => {
     const ages = new Map<NewUpdate, number>();
-    const facts = packed.map((value) => {
-      const record = asRecord(value, "fact");
-      const fact = {
+    const updates = packed.map((value) => {
+      const record = asRecord(value, "update");
+      const update = {
         key: readString(record, "key"),
         version: readNumber(record, "version"),
         tie: readString(record, "tie"),
         body: asRecord(record["body"], "body"),
       };
-      ages.set(fact, readNumber(record, "ageUs"));
-      return fact;
+      ages.set(update, readNumber(record, "ageUs"));
+      return update;
     });
-    this.post(facts, (fact) => ages.get(fact) ?? 0);
+    this.post(updates, (update) => ages.get(update) ?? 0);
   };
 }
 
--- a/src/membership/update-subscriber.ts
+++ b/src/membership/update-subscriber.ts
@@ -284,12 +284,12 @@
     if (message.kind !== MessageKind.updates) return;
     const acknowledgement = acknowledgementOf(message);
     if (acknowledgement !== undefined) connection.send(packAcknowledgement(acknowledgement));
-    const facts = asList(message["facts"], "facts");
-    updates.merge(facts);
+    const received = asList(message["facts"], "facts");
+    updates.merge(received);
     updates.forget(readList(message, "forget", asString));
     if (readFlag(message, "whole")) {
       if (readFlag(message, "complete"))
-        this.forgetUnnamed(new Set(facts.map((fact) => readString(asRecord(fact), "key"))));
+        this.forgetUnnamed(new Set(received.map((one) => readString(asRecord(one), "key"))));
       void this.events.emit("snapshot");
     }
     this.advance(message);
@@ -307,16 +307,16 @@
   };
 
   /**
-   * A complete telling names every worker there is; plan items never vanish, since drops stay as
-   * tombstones.
+   * A complete snapshot names every worker there is. Configuration items never vanish, since removed
+   * ones stay as tombstones.
    */
-  private readonly forgetUnnamed = (told: ReadonlySet<string>): void => {
+  private readonly forgetUnnamed = (named: ReadonlySet<string>): void => {
     const { updates } = this.options;
     updates.forget(
       updates
         .all()
-        .map((fact) => fact.key)
-        .filter((key) => key.startsWith(WORKER_PREFIX) && !told.has(key)),
+        .map(({ key }) => key)
+        .filter((key) => key.startsWith(WORKER_PREFIX) && !named.has(key)),
     );
   };
 
--- a/src/membership/worker-registry.ts
+++ b/src/membership/worker-registry.ts
@@ -24,9 +24,9 @@
 const MISSING_HEARTBEATS = 3;
 
 /**
- * The workers as their beats tell them. Only changes become facts; a beat that changes nothing only
- * freshens. Invariant: for one id the call count held never falls, and a worker that is draining or
- * gone never becomes ready.
+ * The workers, by their heartbeats. Only changes become updates; a heartbeat that changes nothing
+ * only shows that the worker is alive. Invariant: for one id the call count held never falls, and a
+ * worker that is draining or gone never becomes ready.
  */
 export class WorkerRegistry {
   private readonly entries = new Map<string, Entry>();
@@ -42,8 +42,8 @@
   }
 
   /**
-   * After a time in which beats could not come in: their lack says nothing, and workers may have
-   * come that aren't known here.
+   * After a time in which heartbeats could not come in: their lack says nothing, and workers may
+   * have come that aren't known here.
    */
   readonly restartListening = (): void => {
     this.listeningSinceUs = this.clock.nowUs();
@@ -66,17 +66,17 @@
     heartbeats.forEach((heartbeat) => this.record({ ...heartbeat, state: "ready", warmUs: 0 }));
 
   /**
-   * Takes a beat, heard here or shared after `ageUs` elsewhere; false if it is old. One so old that
+   * Takes a heartbeat, received here or replicated after `ageUs`; false if it is old. One so old that
    * its worker is missing counts as such at once: a peer that was partitioned announces workers
    * long gone.
    */
   // eslint-disable-next-line complexity -- the order of the comparisons is the rule, and stays in one place
-  readonly record = (told: Heartbeat, ageUs = 0): boolean => {
+  readonly record = (received: Heartbeat, ageUs = 0): boolean => {
     const nowUs = this.clock.nowUs() - ageUs;
     const heartbeat: Heartbeat =
-      told.state === "ready" && ageUs > this.heartbeatUs * MISSING_HEARTBEATS
-        ? { ...told, state: "missing" }
-        : told;
+      received.state === "ready" && ageUs > this.heartbeatUs * MISSING_HEARTBEATS
+        ? { ...received, state: "missing" }
+        : received;
     const before = this.entries.get(heartbeat.id);
     if (!before) {
       if (ageUs > this.heartbeatUs * TOMBSTONE_HEARTBEATS) return false;
@@ -129,7 +129,7 @@
     }));
   };
 
-  /** Marks those missing that were not heard for some beats, and forgets the long gone. */
+  /** Marks those missing that sent no heartbeat for some intervals, and forgets the long gone. */
   readonly sweep = (): void => {
     const nowUs = this.clock.nowUs();
     this.entries.forEach((entry, id) => {
--- a/src/programs/data-plane-node.ts
+++ b/src/programs/data-plane-node.ts
@@ -13,6 +13,12 @@
 /** Intervals of the connections between nodes and controllers, in microseconds. */
 export const KEEP_ALIVE = { heartbeatUs: 300 * MILLISECOND_US, timeoutUs: 1_000 * MILLISECOND_US };
 
+/**
+ * A node that has missed an announced update for this part of the bound rejects requests. The rest
+ * of the bound is for the time from an acknowledgement to its announcement.
+ */
+const LAG_LIMIT_FRACTION = 0.6;
+
 /** The parts of a node that take updates and relay them. */
 export interface DataPlaneNode {
   readonly updates: UpdateStore;
@@ -23,12 +29,6 @@
   readonly lag: UpdateLag;
 }
 
-/**
- * A node that has missed an announced update for this part of the bound rejects requests. The rest
- * of the bound is for the time from an acknowledgement to its announcement.
- */
-const LAG_LIMIT_FRACTION = 0.6;
-
 /**
  * A node of the data plane among the others: its session with a controller, and its place in the
  * relay tree.
