--- a/soak/run.ts
+++ b/soak/run.ts
@@ -85,7 +85,10 @@
   }
   const { json } = options;
   if (json !== undefined)
-    await writeFile(json, `${JSON.stringify({ options, reports }, null, 1)}\n`);
+    await writeFile(
+      json,
+      `${JSON.stringify({ seeds, from, seconds, gateways, reports }, null, 1)}\n`,
+    );
   process.exitCode = exitCodeOf(reports);
 };
 
