Metrics answer in the bundled programs

The bundler gives a CommonJS module only its default export when it is imported dynamically; the unbundled tests saw named exports as well. The default export is used now, which both have. The new scenario starts the bundled programs and scrapes them; it failed before with 500 and passes now.

--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -13,6 +13,10 @@
     Then another path of the metrics server answers 404
     And a second server at the same port logs one warning and goes on
 
+  Scenario: The bundled programs serve their metrics
+    When a bundled controller and a bundled gateway are started and scraped
+    Then each serves its resident memory and its configuration version
+
   Scenario Outline: An invalid metrics endpoint is refused in the settings
     Then the settings with the metrics endpoint "<endpoint>" are <verdict>
 
--- a/features/steps/metrics.ts
+++ b/features/steps/metrics.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Clock, Timer } from "../../src/common/clock.js";
+import { HistoryRecorder } from "../../soak/history.js";
+import { Program, type ProgramOptions } from "../../soak/program.js";
 import { EventLoopDelayRecorder } from "../../src/common/event-loop-delay.js";
 import { silentLogger } from "../../src/common/logger.js";
 import { parseSettings } from "../../src/common/settings.js";
@@ -31,6 +37,51 @@
   servers = [];
 });
 
+/** Attempts to scrape a program that is starting, and the pause between them. */
+const MAX_SCRAPES = 100;
+const SCRAPE_PAUSE_MS = 100;
+const CONTROLLER_IP = "127.14.0.2";
+const GATEWAY_IP = "127.14.0.3";
+let scrapedTexts: readonly string[] = [];
+
+const scrapeOnceStarted = async ({ metricsUrl }: Program): Promise<string> => {
+  for (let attempt = 0; attempt < MAX_SCRAPES; attempt += 1) {
+    const response = await fetch(metricsUrl).catch(() => undefined);
+    if (response) return response.text();
+    await delay(SCRAPE_PAUSE_MS);
+  }
+  return "";
+};
+
+When(
+  "a bundled controller and a bundled gateway are started and scraped",
+  { timeout: 60_000 },
+  async () => {
+    const folder = await mkdtemp(join(tmpdir(), "yewreel-metrics-"));
+    const shared = {
+      zone: "c1",
+      zones: ["c1"],
+      controllerIps: [CONTROLLER_IP],
+      history: new HistoryRecorder(),
+      nowUs: () => 0,
+    };
+    const programOf = (role: ProgramOptions["role"], ip: string): Program =>
+      new Program({ ...shared, name: role, role, ip, folder: join(folder, role) });
+    const programs = [programOf("controller", CONTROLLER_IP), programOf("gateway", GATEWAY_IP)];
+    await Promise.all(programs.map((program) => program.start(true)));
+    scrapedTexts = await Promise.all(programs.map(scrapeOnceStarted));
+    await Promise.all(programs.map((program) => program.close()));
+    await rm(folder, { recursive: true, force: true });
+  },
+);
+Then("each serves its resident memory and its configuration version", () => {
+  assert.equal(scrapedTexts.length, 2);
+  scrapedTexts.forEach((scraped) => {
+    assert.match(scraped, /^yewreel_process_resident_bytes \d+$/m);
+    assert.match(scraped, /^yewreel_config_version 0$/m);
+  });
+});
+
 Given("a metrics server with a count and a count by outcome", async () => {
   count = 1;
   requests = [{ labels: { outcome: "ok" }, value: 3 }];
--- a/soak/program.ts
+++ b/soak/program.ts
@@ -8,7 +8,13 @@
 import type { HistoryRecorder } from "./history.js";
 
 /** All programs of a run use the same ports, each on its own loopback address. */
-const PORTS = { front: 18_100, ready: 18_101, control: 18_102, firstSpare: 18_110 } as const;
+const PORTS = {
+  front: 18_100,
+  ready: 18_101,
+  control: 18_102,
+  metrics: 18_103,
+  firstSpare: 18_110,
+} as const;
 const MS_PER_US = 0.001;
 const RETRY_WINDOW = "10s";
 const KILL_AFTER_GRACE_US = 3_000_000;
@@ -52,6 +58,7 @@
     },
     limits: { memoryMb: 200, fileHandles: 1_000, diskMb: 64, linkMbps: 100 },
     withstand: { machines: 1 },
+    metrics: { [role]: `${PORTS.metrics}/metrics` },
     bounds: {
       drain: formatMs(BOUNDS.drainUs),
       grace: formatMs(BOUNDS.graceUs),
@@ -94,6 +101,11 @@
     return `${this.options.ip}:${PORTS.ready}`;
   }
 
+  /** URL of the metrics. */
+  get metricsUrl(): string {
+    return `http://${this.options.ip}:${PORTS.metrics}/metrics`;
+  }
+
   /** Starts the process; does nothing if it is already running. */
   readonly start = async (firstRun: boolean): Promise<void> => {
     if (this.child) return;
--- a/src/programs/metrics-server.ts
+++ b/src/programs/metrics-server.ts
@@ -39,7 +39,7 @@
     : [...new Set(values.flatMap(({ labels }) => Object.keys(labels)))];
 
 const openRegistry = async (metrics: readonly Metric[]): Promise<Registry> => {
-  const prometheus = await import("prom-client");
+  const { default: prometheus } = await import("prom-client");
   const registry = new prometheus.Registry();
   metrics.forEach(({ name, help, read }) => {
     const gauge = new prometheus.Gauge({
