The scenario of a client that leaves amid a large answer waits for bytes, not for the test's clock

Its When step advanced the test's clock by 5 ms a step until bytes had come over real sockets, so that on a busy machine the request's deadline of 2,500 ms passed first; the 504 is read as a whole response, and nothing is ever left unread. The checks are unchanged.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -125,7 +125,6 @@
     Then no request is open or in flight
     And no worker received a POST
 
-  @known-red-at-times
   Scenario: A client that leaves amid a large answer ends the worker's call
     Given a gateway and a worker with persistent connections
     When a client disconnects during a large response
--- a/features/steps/answers.ts
+++ b/features/steps/answers.ts
@@ -570,7 +570,7 @@
   };
   const disconnecting = new RawClient(harness.host, harness.port);
   disconnecting.send("GET", "/safe/x", { "Yewreel-Try-Id": "t-leaver", ...TIME_LEFT });
-  await harness.until(() => disconnecting.unread.length > 0);
+  await settleUntil(() => disconnecting.unread.length > 0);
   disconnecting.socket.pause();
   await settle();
   disconnecting.socket.destroy();
@@ -627,9 +627,12 @@
   }
   await settle(40);
 });
+/** Real time for which bytes may travel between the sockets of this process on a busy machine. */
+const SETTLE_LIMIT_MS = 4_000;
 /** Runs turns of the event loop, without advancing the clock, until the condition holds. */
 const settleUntil = async (condition: () => boolean): Promise<void> => {
-  for (let turn = 0; turn < 2_000 && !condition(); turn += 1) await settle(1);
+  const startedMs = performance.now();
+  while (!condition() && performance.now() - startedMs < SETTLE_LIMIT_MS) await settle(1);
   assert.ok(condition());
 };
 Then("nothing more is sent for the POST", async () => {
