--- a/src/config/config-keys.ts
+++ b/src/config/config-keys.ts
@@ -21,6 +21,16 @@
 /** Whether the key belongs to a service. */
 export const isServiceKey = (key: string): boolean => key.startsWith(SERVICE_PREFIX);
 
+/** Returns the kind of an item by its key: `limits`, or the part before the slash. */
+export const itemKind = (key: string): string => key.split("/")[0] ?? "";
+
+/** Counts items by kind, given their keys. */
+export const countByKind = (keys: readonly string[]): Readonly<Record<string, number>> => {
+  const counts = new Map<string, number>();
+  keys.map(itemKind).forEach((kind) => counts.set(kind, (counts.get(kind) ?? 0) + 1));
+  return Object.fromEntries(counts);
+};
+
 /** Whether the key belongs to any item of the configuration. */
 export const isConfigKey = (key: string): boolean =>
   key === LIMITS_KEY || isRouteKey(key) || isServiceKey(key);
--- a/src/programs/controller/config.ts
+++ b/src/programs/controller/config.ts
@@ -7,7 +7,7 @@
 import { err, type Result } from "true-myth/result";
 import { parseChangeIncrementally } from "../../config/change-request.js";
 import { findUnknownService, toConfigDocument } from "../../config/config-document.js";
-import { isConfigKey } from "../../config/config-keys.js";
+import { countByKind, isConfigKey } from "../../config/config-keys.js";
 import type { Register } from "../../consensus/register.js";
 import type { ReplicatedStore } from "../../consensus/replicated-store.js";
 import type { NodeSessions } from "../../membership/node-sessions.js";
@@ -69,6 +69,7 @@
     if (items.length > 0)
       log.info("configuration posted to nodes", {
         items: items.length,
+        kinds: countByKind(items.map(({ key }) => key)),
         version: Math.max(...items.map(({ version }) => version)),
         sessions: sessions.size,
       });
@@ -103,7 +104,11 @@
   if (change.isErr) return toApiResponse(err(fromConfigError(change.error)));
   const result = await proposeChange(store, change.value);
   if (result.isOk) await visibility.waitForPeers();
-  log.info("configuration change ended", { items: change.value.length, committed: result.isOk });
+  log.info("configuration change ended", {
+    items: change.value.length,
+    kinds: countByKind(change.value.map(({ key }) => key)),
+    committed: result.isOk,
+  });
   return toApiResponse(result);
 };
 
--- a/src/programs/controller/metrics.ts
+++ b/src/programs/controller/metrics.ts
@@ -1,11 +1,11 @@
 /** Metrics of the controller. */
-import { isConfigKey } from "../../config/config-keys.js";
+import { countByKind, isConfigKey } from "../../config/config-keys.js";
 import type { ReplicatedStore } from "../../consensus/replicated-store.js";
 import type { NodeSessions } from "../../membership/node-sessions.js";
 import type { Peers } from "../../membership/peers.js";
 import type { UpdatePublisher } from "../../membership/update-publisher.js";
 import type { UpdateStore } from "../../membership/update-store.js";
-import type { Metric } from "../metrics-server.js";
+import type { LabelledValue, Metric } from "../metrics-server.js";
 import type { QuorumFreshness } from "./quorum-freshness.js";
 
 /** Dependencies of {@link controllerMetrics}. */
@@ -18,6 +18,14 @@
   readonly freshness: QuorumFreshness;
 }
 
+const countItems = (store: ReplicatedStore): readonly LabelledValue[] => {
+  const keys = store
+    .committedRegisters()
+    .filter(({ key, dropped }) => isConfigKey(key) && !dropped)
+    .map(({ key }) => key);
+  return Object.entries(countByKind(keys)).map(([kind, value]) => ({ labels: { kind }, value }));
+};
+
 /** Returns the metrics of a controller. */
 export const controllerMetrics = ({
   store,
@@ -46,6 +54,11 @@
         .filter(({ key }) => isConfigKey(key))
         .reduce((highest, { version }) => Math.max(highest, version), 0),
   },
+  {
+    name: "yewreel_config_items",
+    help: "Committed configuration items known here, without removed ones, by kind.",
+    read: () => countItems(store),
+  },
   {
     name: "yewreel_updates",
     help: "Updates for nodes: configuration items, workers, decisions.",
