--- /dev/null
+++ b/features/support/small-system.ts
@@ -0,0 +1,181 @@
+/** A controller, a gateway and stub workers on loopback addresses, on a manual clock. */
+import { request as httpRequest } from "node:http";
+import { setLogLevel } from "../../src/common/logger.js";
+import type { Settings } from "../../src/common/settings.js";
+import { runController } from "../../src/programs/controller/controller.js";
+import { runGateway } from "../../src/programs/gateway/gateway.js";
+import type { Metric } from "../../src/programs/metrics-server.js";
+import type { RunningProgram } from "../../src/programs/running-program.js";
+import { ManualClock, settle } from "./manual-clock.js";
+import { StubWorker } from "./stub-worker.js";
+
+const CONTROLLER_IP = "127.15.0.1";
+const GATEWAY_IP = "127.15.0.2";
+const STEP_US = 5_000;
+const MAX_STEPS = 4_000;
+const HEARTBEAT_US = 1_500_000;
+/** Time in which a committed change has reached the gateway. */
+const DISTRIBUTION_US = 500_000;
+
+/** Response to a call of the system. */
+export interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+const callOnce = (
+  address: string,
+  method: string,
+  path: string,
+  body: string,
+  headers: Readonly<Record<string, string>>,
+): Promise<Reply> =>
+  new Promise((resolve, reject) => {
+    const request = httpRequest(
+      `http://${address}${path}`,
+      { method, agent: false, headers: { ...headers, "Content-Length": Buffer.byteLength(body) } },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("end", () =>
+          resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }),
+        );
+      },
+    );
+    request.on("error", reject);
+    request.end(body);
+  });
+
+let systemCount = 0;
+
+/** One controller and one gateway that run in this process. */
+export class SmallSystem {
+  readonly clock = new ManualClock();
+  readonly workers: StubWorker[] = [];
+  private readonly programs: RunningProgram[] = [];
+  private readonly basePort: number;
+  private requestCount = 0;
+  private callCount = 0;
+
+  constructor() {
+    systemCount += 1;
+    this.basePort = 14_000 + systemCount * 20;
+  }
+
+  /** Starts the programs, which log at the given level. */
+  readonly start = async (logLevel = "silent"): Promise<void> => {
+    setLogLevel(logLevel);
+    this.programs.push(await runController(this.settingsOf(CONTROLLER_IP), this.clock));
+    this.programs.push(await runGateway(this.settingsOf(GATEWAY_IP), this.clock));
+    await this.clock.pass(3_000_000);
+  };
+
+  readonly stop = async (): Promise<void> => {
+    for (const program of [...this.programs].reverse()) await this.advance(program.stop());
+    this.workers.forEach((worker) => worker.stop());
+    setLogLevel("silent");
+    await settle();
+  };
+
+  /** Starts a worker of the service, which sends one heartbeat. */
+  readonly addWorker = async (id: string, service: string): Promise<StubWorker> => {
+    const worker = new StubWorker(id);
+    await worker.start();
+    this.workers.push(worker);
+    this.callCount += 1;
+    const heartbeat = {
+      service,
+      address: worker.address,
+      cell: "c1",
+      version: "v1",
+      capacity: 3,
+      state: "ready",
+      warmLeft: "0ms",
+      callCount: this.callCount,
+    };
+    await this.callController("POST", `/workers/${id}/heartbeat`, JSON.stringify(heartbeat));
+    await this.clock.pass(DISTRIBUTION_US);
+    return worker;
+  };
+
+  /** Sends a change to the controller and waits until the gateway may have it. */
+  readonly change = async (change: unknown): Promise<Reply> => {
+    const reply = await this.callController("POST", "/plan/change", JSON.stringify(change));
+    await this.clock.pass(DISTRIBUTION_US);
+    return reply;
+  };
+
+  readonly callController = (method: string, path: string, body = ""): Promise<Reply> =>
+    this.advance(callOnce(`${CONTROLLER_IP}:${this.basePort + 2}`, method, path, body, {}));
+
+  /** Sends a request to the gateway. */
+  readonly request = (
+    method: string,
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<Reply> => {
+    this.requestCount += 1;
+    return this.advance(
+      callOnce(`${GATEWAY_IP}:${this.basePort + 4}`, method, path, method === "GET" ? "" : "body", {
+        Host: "a.example",
+        "Yewreel-Try-Id": `request-${this.requestCount}`,
+        "Yewreel-Time-Left-Ms": "1500",
+        ...headers,
+      }),
+    );
+  };
+
+  /** The metrics of the controller and the gateway. */
+  readonly metrics = (): readonly Metric[] => this.programs.flatMap(({ metrics }) => metrics);
+
+  /** Advances the clock in small steps until the operation ends. */
+  private readonly advance = async <T>(operation: Promise<T>): Promise<T> => {
+    let isDone = false;
+    const finished = operation.finally(() => {
+      isDone = true;
+    });
+    // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition -- set by the callback above
+    for (let step = 0; step < MAX_STEPS && !isDone; step += 1) await this.clock.pass(STEP_US);
+    return finished;
+  };
+
+  private readonly settingsOf = (ip: string): Settings => ({
+    name: ip,
+    zone: "c1",
+    ip,
+    peerPort: this.basePort,
+    relayPort: this.basePort + 1,
+    seedNodes: [`${CONTROLLER_IP}:${this.basePort + 2}`],
+    firstRun: true,
+    heartbeatUs: HEARTBEAT_US,
+    dataFolder: "",
+    logLevel: "silent",
+    front: `${ip}:${this.basePort + 4}`,
+    ready: `${ip}:${this.basePort + 5}`,
+    control: `${ip}:${this.basePort + 2}`,
+    memoryMb: 300,
+    fileHandles: 1_000,
+    withstandMachines: 0,
+    drainUs: 2_000_000,
+    graceUs: 1_000_000,
+    applyUs: 2_000_000,
+    contactUs: 3_000_000,
+    confirmUs: 4_000_000,
+    retryRatio: 0.2,
+    retryWindowUs: 10_000_000,
+    retrySlack: 50,
+    deployment: "",
+    diskMb: 64,
+    linkMbps: 0,
+    regions: new Map(),
+    stretchUs: 5_000_000,
+    keyWindowUs: 60_000_000,
+    purgeUs: 2_000_000,
+    staleSlackUs: 2_000_000,
+    ceilingWindowUs: 5_000_000,
+    ceilingExcess: 1.1,
+    metrics: new Map(),
+    forecastActs: false,
+    rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
+  });
+}
