--- a/features/steps/replicated-registers.ts
+++ b/features/steps/replicated-registers.ts
@@ -159,9 +159,9 @@
       makeRegister(key(name), version, `{"together":"${name}"}`),
     );
     const result = await cluster.withClock(
-      cluster
-        .member(controllerId(number))
-        .store.propose(registers, () => `${invalidName} names an unknown service`),
+      cluster.member(controllerId(number)).store.propose(registers, {
+        findProblem: () => `${invalidName} names an unknown service`,
+      }),
     );
     outcomes.push({ body: "", outcome: result.isOk ? "confirmed" : result.error.code });
   },
--- a/features/support/defective-controllers.ts
+++ b/features/support/defective-controllers.ts
@@ -96,7 +96,7 @@
     },
   })),
   "only the first item of a change is proposed": storeWith((real) => ({
-    propose: (registers, problemOf) => real.propose(registers.slice(0, 1), problemOf),
+    propose: (registers, options) => real.propose(registers.slice(0, 1), options),
   })),
   "a change is accepted without checking its requirements": storeWith((real) => ({
     propose: (registers) => real.propose(registers),
--- a/simulator/simulated-controller.ts
+++ b/simulator/simulated-controller.ts
@@ -8,6 +8,7 @@
 import { CONSENSUS_MESSAGE_KINDS } from "../src/consensus/messages.js";
 import { ReplicatedStore, type ReplicatedStoreOptions } from "../src/consensus/replicated-store.js";
 import type { Register } from "../src/consensus/register.js";
+import type { WriteCheck } from "../src/consensus/register-writer.js";
 import type { Clock } from "../src/common/clock.js";
 import { silentLogger } from "../src/common/logger.js";
 import { MILLISECOND_US, SECOND_US } from "../src/common/duration.js";
@@ -226,11 +227,11 @@
     const { history, time } = this.options;
     const attempt = history.beginAttempt(change.id, this.id, time.nowUs());
     const { requires } = change;
-    const problemOf = (get: (key: string) => Register | undefined) =>
+    const findProblem: WriteCheck = ({ get }) =>
       requires === "" || get(requires)?.dropped === false
         ? undefined
         : `${requires} does not exist`;
-    const proposed = await this.store.propose(change.registers, problemOf);
+    const proposed = await this.store.propose(change.registers, { findProblem });
     attempt.endUs = time.nowUs();
     if (proposed.isOk) {
       attempt.result = "ok";
--- a/src/config/config-document.ts
+++ b/src/config/config-document.ts
@@ -2,7 +2,9 @@
 import { asRecord, parseJson, type UnknownRecord } from "../common/decode.js";
 import { readWeightedServices } from "../common/weighted-split.js";
 import type { Register } from "../consensus/register.js";
-import { isRouteKey, isServiceKey, LIMITS_KEY, serviceKey } from "./config-keys.js";
+import type { WriteCheck } from "../consensus/register-writer.js";
+import { isCustomerKey, isRouteKey, isServiceKey, LIMITS_KEY, serviceKey } from "./config-keys.js";
+import { findSharedKey } from "./customer-keys.js";
 
 const servicesOf = (route: Register): readonly string[] => {
   const then = asRecord(asRecord(asRecord(parseJson(route.body))["rule"])["then"]);
@@ -35,6 +37,19 @@
     .find((name) => !isKnown(name));
 };
 
+/**
+ * Returns a function that says why the change would be invalid, given the registers in force;
+ * undefined if it is valid.
+ */
+export const findProblemOf =
+  (change: readonly Register[]): WriteCheck =>
+  (inForce) => {
+    const unknown = findUnknownService(change, inForce.get);
+    if (unknown !== undefined) return `a route names the unknown service ${unknown}`;
+    const sharing = findSharedKey(change, inForce.get, inForce.all);
+    return sharing && `the customers ${sharing.join(" and ")} would share an API key`;
+  };
+
 /** Returns the complete configuration in the format of a change that would create it. */
 export const toConfigDocument = (registers: readonly Register[]): UnknownRecord => {
   const live = registers.filter((register) => !register.dropped);
@@ -42,6 +57,9 @@
   const groups = live
     .filter((register) => isServiceKey(register.key))
     .map((register) => parseJson(register.body));
+  const customers = live
+    .filter((register) => isCustomerKey(register.key))
+    .map((register) => parseJson(register.body));
   const byHost = new Map<string, unknown[]>();
   live
     .filter((register) => isRouteKey(register.key))
@@ -51,5 +69,10 @@
       byHost.set(host, [...(byHost.get(host) ?? []), record["rule"]]);
     });
   const listeners = [...byHost].map(([host, rules]) => ({ host, rules }));
-  return { ...(limits ? { limits: parseJson(limits.body) } : {}), listeners, groups };
+  return {
+    ...(customers.length > 0 ? { customers } : {}),
+    ...(limits ? { limits: parseJson(limits.body) } : {}),
+    listeners,
+    groups,
+  };
 };
--- a/src/config/config-keys.ts
+++ b/src/config/config-keys.ts
@@ -5,16 +5,26 @@
 
 const ROUTE_PREFIX = "route/";
 const SERVICE_PREFIX = "service/";
+const CUSTOMER_PREFIX = "customer/";
 
 /** Key of the limits that apply to every listener. */
 export const LIMITS_KEY = "limits";
 
+/** Key of the register by which changes of customers are decided one after another. */
+export const CUSTOMERS_SERIALIZATION_KEY = "customers";
+
 /** Returns the register key of a route. */
 export const routeKey = (name: string): string => ROUTE_PREFIX + name;
 
 /** Returns the register key of a service. */
 export const serviceKey = (name: string): string => SERVICE_PREFIX + name;
 
+/** Returns the register key of a customer. */
+export const customerKey = (name: string): string => CUSTOMER_PREFIX + name;
+
+/** Whether the key belongs to a customer. */
+export const isCustomerKey = (key: string): boolean => key.startsWith(CUSTOMER_PREFIX);
+
 /** Whether the key belongs to a route. */
 export const isRouteKey = (key: string): boolean => key.startsWith(ROUTE_PREFIX);
 
@@ -33,4 +43,4 @@
 
 /** Whether the key belongs to any item of the configuration. */
 export const isConfigKey = (key: string): boolean =>
-  key === LIMITS_KEY || isRouteKey(key) || isServiceKey(key);
+  key === LIMITS_KEY || isRouteKey(key) || isServiceKey(key) || isCustomerKey(key);
--- a/src/config/item-schema.ts
+++ b/src/config/item-schema.ts
@@ -1,4 +1,4 @@
-/** Schemas of the configuration items: routes, services and limits. */
+/** Schemas of the configuration items: routes, services, customers and limits. */
 import convict from "convict";
 import { asList, asRecord, isRecord, type UnknownRecord } from "../common/decode.js";
 import { parseDuration, SECOND_US } from "../common/duration.js";
@@ -6,6 +6,12 @@
 /** Maximum value of `giveUp`, the total time for which a request may be attempted. */
 const MAX_GIVE_UP_US = 600 * SECOND_US;
 
+const MAX_API_KEY_LENGTH = 256;
+const API_KEY = new RegExp(`^[!-~]{1,${MAX_API_KEY_LENGTH}}$`);
+
+/** An API key is sent as the value of a header, so it has no spaces (RFC 9110, section 5.5). */
+const isApiKey = (value: unknown): boolean => typeof value === "string" && API_KEY.test(value);
+
 const requirePositiveDuration = (value: unknown): void => {
   if (!(parseDuration(value).unwrapOr(0) > 0))
     throw new Error("must be a duration above 0, such as 1500ms");
@@ -86,6 +92,7 @@
   then: { format: "destination", default: [] },
   giveUp: { format: "give-up", default: "" },
   tries: { format: "nat", default: 1 },
+  public: { format: Boolean, default: false },
 });
 
 const serviceSchema = convict({
@@ -97,6 +104,12 @@
   dropsRepeats: { format: Boolean, default: false },
 });
 
+const customerSchema = convict({
+  name: { format: "named", default: "" },
+  version: { format: "plan-version", default: -1 },
+  rank: { format: "nat", default: 0 },
+});
+
 const limitsSchema = convict({
   version: { format: "plan-version", default: -1 },
   maxHeaderBytes: { format: "nat", default: 0 },
@@ -115,7 +128,9 @@
   rank: 0,
   giveUp: "",
   tries: 1,
+  public: false,
 };
+const CUSTOMER_DEFAULTS: UnknownRecord = { name: "", version: -1, rank: 0 };
 const SERVICE_DEFAULTS: UnknownRecord = {
   name: "",
   version: -1,
@@ -165,6 +180,20 @@
 export const validateService = (service: UnknownRecord): void =>
   validate(serviceSchema, SERVICE_DEFAULTS, service);
 
+/**
+ * Validates the fields of a customer.
+ *
+ * @throws if a field violates the schema. The message contains no API key.
+ */
+export const validateCustomer = (customer: UnknownRecord): void => {
+  validate(customerSchema, CUSTOMER_DEFAULTS, pickFields(customer, ["name", "version", "rank"]));
+  const keys = asList(customer["apiKeys"], "apiKeys");
+  if (!keys.every(isApiKey))
+    throw new Error(
+      `apiKeys: must be texts of 1 to ${MAX_API_KEY_LENGTH} visible ASCII characters`,
+    );
+};
+
 /**
  * Validates the fields of the limits.
  *
--- a/src/config/validation.ts
+++ b/src/config/validation.ts
@@ -1,11 +1,12 @@
 /** Validates the items of a change and converts them to registers. */
 import { asRecord } from "../common/decode.js";
 import { makeRegister, type Register } from "../consensus/register.js";
-import { LIMITS_KEY, routeKey, serviceKey } from "./config-keys.js";
+import { customerKey, LIMITS_KEY, routeKey, serviceKey } from "./config-keys.js";
 import {
   pickFields,
   requireName,
   requireVersion,
+  validateCustomer,
   validateLimits,
   validateRoute,
   validateService,
@@ -21,7 +22,15 @@
   const then = asRecord(rule["then"], "then");
   const matchOn = asRecord(rule["matchOn"], "matchOn");
   const flat = {
-    ...pickFields(rule, ["name", "version", "routeKind", "target_time", "rank", "cacheFor"]),
+    ...pickFields(rule, [
+      "name",
+      "version",
+      "routeKind",
+      "target_time",
+      "rank",
+      "cacheFor",
+      "public",
+    ]),
     ...pickFields(then, ["giveUp", "tries"]),
     host,
     matchOn: { pathStart: matchOn["pathStart"] ?? "" },
@@ -59,6 +68,21 @@
   );
 };
 
+/**
+ * Validates a customer and converts it to a register.
+ *
+ * @throws if a field violates the schema. The message contains no API key.
+ */
+export const toCustomerRegister = (value: unknown): Register => {
+  const customer = asRecord(value, "customer");
+  validateCustomer(customer);
+  return makeRegister(
+    customerKey(String(customer["name"])),
+    Number(customer["version"]),
+    JSON.stringify(customer),
+  );
+};
+
 /**
  * Validates the limits and converts them to a register.
  *
--- a/src/consensus/register-writer.ts
+++ b/src/consensus/register-writer.ts
@@ -2,7 +2,7 @@
  * Writes to registers: operator calls, decisions of the holder of the leader lease, and repairs.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { isSameBallot, NO_BALLOT } from "./ballot.js";
+import { isSameBallot, NO_BALLOT, type Ballot } from "./ballot.js";
 import {
   InvalidWriteError,
   UnclearOutcomeError,
@@ -20,10 +20,25 @@
 
 type Contents = ReadonlyMap<string, Register | undefined>;
 
-/**
- * Returns why a write is invalid, given the registers in force by key; undefined if it is valid.
- */
-export type WriteCheck = (get: (key: string) => Register | undefined) => string | undefined;
+/** The registers in force at the time of a write. */
+export interface RegisterView {
+  readonly get: (key: string) => Register | undefined;
+  readonly all: () => readonly Register[];
+}
+
+/** Returns why a write is invalid, given the registers in force; undefined if it is valid. */
+export type WriteCheck = (inForce: RegisterView) => string | undefined;
+
+/** How a write is checked. */
+export interface WriteOptions {
+  readonly findProblem?: WriteCheck;
+  /**
+   * Key of a register that is rewritten along with the write. Writes with the same serialization
+   * key are decided one after another, and each is checked against all that were decided before,
+   * so that a condition over several registers holds even for concurrent writes.
+   */
+  readonly serializationKey?: string;
+}
 
 /** Dependencies of {@link RegisterWriter}. */
 export interface RegisterWriterOptions {
@@ -36,11 +51,26 @@
 /** Result of applying several writes to the registers in force. */
 interface AppliedWrites {
   readonly next: Contents;
-  /** How many of the writes had been made before. */
-  readonly duplicates: number;
+  /** Whether some, or all, of the writes had been made before. */
+  readonly hasDuplicates: boolean;
+  readonly isDuplicate: boolean;
   readonly error: VersionConflictError | UnclearOutcomeError | undefined;
 }
 
+/**
+ * The next content of a serialization register. Its body differs between writes, so that of two
+ * writes on top of the same content the one with the lower ballot is recognized as superseded.
+ */
+const nextSerializationRegister = (
+  key: string,
+  current: Register | undefined,
+  ballot: Ballot,
+): Register | undefined => {
+  const body = `${ballot.number}/${ballot.proposer}`;
+  const outcome = applyWrite(current, makeRegister(key, (current?.version ?? 0) + 1, body));
+  return outcome.kind === "applied" ? outcome.next : current;
+};
+
 const applyWrites = (writes: readonly Register[], current: Contents): AppliedWrites => {
   const next = new Map(current);
   let error: AppliedWrites["error"];
@@ -58,9 +88,24 @@
   const duplicates = writes.filter(
     (write) => applyWrite(current.get(write.key), write).kind === "duplicate",
   ).length;
-  return { next, duplicates, error };
+  return {
+    next,
+    hasDuplicates: duplicates > 0,
+    isDuplicate: duplicates === writes.length,
+    error,
+  };
 };
 
+/** The contents after the writes, with the serialization register rewritten if they are new. */
+const withSerialization = (
+  { next, isDuplicate }: AppliedWrites,
+  key: string | undefined,
+  ballot: Ballot,
+): Contents =>
+  key === undefined || isDuplicate
+    ? next
+    : new Map(next).set(key, nextSerializationRegister(key, next.get(key), ballot));
+
 /** The current item of each key for which anything is known. */
 const itemsFoundBy = (prepared: PreparedBallot): readonly Item[] =>
   prepared.keys
@@ -81,6 +126,17 @@
     : error;
 };
 
+const optional = <T>(value: T | undefined): readonly T[] => (value === undefined ? [] : [value]);
+
+/** The committed registers known here, replaced by what a prepared ballot has found. */
+const viewOf = (local: LocalReplica, current: Contents): RegisterView => ({
+  get: (key) => current.get(key) ?? local.state.committedAt(key),
+  all: () => [
+    ...local.state.allCommitted().filter(({ key }) => current.get(key) === undefined),
+    ...[...current.values()].flatMap(optional),
+  ],
+});
+
 /** Decides registers by means of a proposer. */
 export class RegisterWriter {
   constructor(private readonly options: RegisterWriterOptions) {}
@@ -90,14 +146,14 @@
    * call or an earlier one, is held by a quorum or has since been replaced by a newer version.
    *
    * @param writes - the registers, each with the version given by the operator
-   * @param findProblem - returns why the call is invalid
    */
   readonly write = (
     writes: readonly Register[],
-    findProblem?: WriteCheck,
+    options: WriteOptions = {},
   ): Promise<Result<void, ReplicatedStoreError>> => {
     const { proposer } = this.options;
-    const keys = [...new Set(writes.map(({ key }) => key))];
+    const { serializationKey } = options;
+    const keys = [...new Set([...writes.map(({ key }) => key), ...optional(serializationKey)])];
     let wasProposed = false;
     let result: Result<void, ReplicatedStoreError> = ok(undefined);
     const attempt = async () => {
@@ -106,14 +162,9 @@
       const current: Contents = new Map(
         prepared.value.keys.map((key) => [key, registerFoundBy(prepared.value, key)]),
       );
-      const { next, duplicates, ...applied } = applyWrites(writes, current);
-      let error: ReplicatedStoreError | undefined = applied.error;
-      // A single known register may belong to another call. A call that was confirmed before has
-      // all of them.
-      if (!error && duplicates < writes.length && !wasProposed)
-        error = await this.validate(findProblem, current);
+      const applied = applyWrites(writes, current);
+      const error = await this.findError(applied, options, current, wasProposed);
       if (error) {
-        error = asUnclearIfProposed(error, wasProposed || duplicates > 0);
         result = err(error);
         if (error instanceof UnclearOutcomeError) return ok(undefined);
       } else {
@@ -123,7 +174,9 @@
       // After a rejection, the registers in force are always accepted again. A minority may have
       // accepted parts of an earlier attempt at this call above the committed ballot, and these
       // must not come into force later.
-      const items: readonly Item[] = [...(error ? current : next)];
+      const items: readonly Item[] = [
+        ...(error ? current : withSerialization(applied, serializationKey, prepared.value.ballot)),
+      ];
       return !error && this.areCommitted(prepared.value, items, current)
         ? ok(undefined)
         : proposer.accept(prepared.value, items);
@@ -196,14 +249,31 @@
       );
     });
 
+  /**
+   * Returns why the writes can't be proposed. A single known register may belong to another call; a
+   * call that was confirmed before has all of them, and is not checked again.
+   */
+  private readonly findError = async (
+    applied: AppliedWrites,
+    options: WriteOptions,
+    current: Contents,
+    wasProposed: boolean,
+  ): Promise<ReplicatedStoreError | undefined> => {
+    const isChecked =
+      !applied.isDuplicate && (!wasProposed || options.serializationKey !== undefined);
+    const error = applied.error ?? (isChecked ? await this.validate(options, current) : undefined);
+    return error && asUnclearIfProposed(error, wasProposed || applied.hasDuplicates);
+  };
+
   private readonly validate = async (
-    findProblem: WriteCheck | undefined,
+    { findProblem, serializationKey }: WriteOptions,
     current: Contents,
   ): Promise<ReplicatedStoreError | undefined> => {
     const { local, read } = this.options;
-    const check = () => findProblem?.((key) => current.get(key) ?? local.state.committedAt(key));
-    if (check() === undefined) return undefined;
+    const check = () => findProblem?.(viewOf(local, current));
     // This replica may be outdated, so a problem is reported or dismissed only after a quorum read.
+    // A condition over several registers may be violated by one that this replica lacks.
+    if (serializationKey === undefined && check() === undefined) return undefined;
     if ((await read()).isErr)
       return new UnclearOutcomeError("no quorum could be read to check what the write refers to");
     const problem = check();
--- a/src/consensus/replicated-store.ts
+++ b/src/consensus/replicated-store.ts
@@ -21,7 +21,7 @@
 import { QuorumCheck } from "./quorum-check.js";
 import { QuorumReader } from "./quorum-reader.js";
 import { Reconfiguration, type MemberChange } from "./reconfiguration.js";
-import { RegisterWriter, type WriteCheck } from "./register-writer.js";
+import { RegisterWriter, type WriteOptions } from "./register-writer.js";
 import type { Register } from "./register.js";
 import { ReplicaViews } from "./replica-view.js";
 import type { Replica } from "./replica.js";
@@ -184,12 +184,12 @@
    * Decides one operator call, all registers at one ballot. Ok: every register, written by this
    * call or an earlier one, is held by a quorum or has since been replaced by a newer version.
    *
-   * @param findProblem - returns why the call is invalid, given the registers in force by key
+   * @param options - how the call is checked against the registers in force
    */
   readonly propose = (
     writes: readonly Register[],
-    findProblem?: WriteCheck,
-  ): Promise<Result<void, ReplicatedStoreError>> => this.writer.write(writes, findProblem);
+    options?: WriteOptions,
+  ): Promise<Result<void, ReplicatedStoreError>> => this.writer.write(writes, options);
 
   /**
    * Compares and sets one register. Returns the register in force afterwards.
--- a/src/programs/controller/config.ts
+++ b/src/programs/controller/config.ts
@@ -6,8 +6,9 @@
  */
 import { err, type Result } from "true-myth/result";
 import { parseChangeIncrementally } from "../../config/change-request.js";
-import { findUnknownService, toConfigDocument } from "../../config/config-document.js";
-import { countByKind, isConfigKey } from "../../config/config-keys.js";
+import { findProblemOf, toConfigDocument } from "../../config/config-document.js";
+import { countByKind, CUSTOMERS_SERIALIZATION_KEY, isConfigKey } from "../../config/config-keys.js";
+import { putsCustomers } from "../../config/customer-keys.js";
 import type { Register } from "../../consensus/register.js";
 import type { ReplicatedStore } from "../../consensus/replicated-store.js";
 import type { NodeSessions } from "../../membership/node-sessions.js";
@@ -86,9 +87,9 @@
   store: ReplicatedStore,
   change: readonly Register[],
 ): Promise<Result<UnknownRecord, AdminApiError>> => {
-  const proposed = await store.propose(change, (get) => {
-    const unknown = findUnknownService(change, get);
-    return unknown === undefined ? undefined : `a route names the unknown service ${unknown}`;
+  const proposed = await store.propose(change, {
+    findProblem: findProblemOf(change),
+    ...(putsCustomers(change) ? { serializationKey: CUSTOMERS_SERIALIZATION_KEY } : {}),
   });
   return proposed.mapErr(fromStoreError).map(() => ({}));
 };
