Requests are authenticated by API key; workers see the customer's name and never the key

Workers got the client's key and whatever Yewreel-Customer the client sent (UNASKED), and requests without a known key ran (ROUTE), since no gateway knew customers. Committed customers now go to the nodes as updates, with digests instead of keys and within the bound of configuration; a request needs a known key unless its route is public or there are no customers, and gets 401 otherwise. The gateway always removes Yewreel-Credential and sets Yewreel-Customer itself. Waiting requests proceed by the customer's rank before the route's; idempotency keys are separate for each customer. Same class of fault elsewhere: a node told of a first configuration in several frames said 404 of what was still to come; it answers 503 until it has the whole, and an unknown kind of item no longer resets the limits. yewreel ctl customers lists names, ranks and numbers of keys; yewreel_config_customers counts them.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -3,13 +3,11 @@
   Background:
     Given a system with the customers "alpha" with key "key-a" and "beta" with key "key-b"
 
-  @known-red
   Scenario: The API key is not passed on, and the worker is told the customer of the key
     When a request with the key "key-b" claims to be of customer "alpha"
     Then the worker ran it for customer "beta"
     And the worker has never seen an API key
 
-  @known-red
   Scenario: A request without a key, or with an unknown key, runs nowhere
     When a request without a key is sent
     Then it is answered with 401
@@ -60,3 +58,40 @@
       | an empty key           | apiKeys |
       | a rank below 0         | rank    |
       | a version that is text | version |
+
+  Scenario: A public route needs no key, and still neither forwards one nor lets a client name its customer
+    When a request to the public route without a key claims to be of customer "alpha"
+    Then the worker ran it for no customer
+    When a request to the public route has the key "key-a"
+    Then it is answered with 200
+    And the worker has never seen an API key
+
+  Scenario: A key that was taken away is refused, and one that was added is served
+    When customer "alpha" at version 2 is given the keys "key-c"
+    And a request with the key "key-a" is sent
+    Then it is answered with 401
+    When a request with the key "key-c" is sent
+    Then it is answered with 200
+    When customer "alpha" is removed at version 3
+    And a request with the key "key-c" is sent
+    Then it is answered with 401
+
+  Scenario: Nothing but the configuration that is read back shows API keys
+    When a request with the key "key-a" is sent
+    Then metrics, queries and log lines contain neither an API key nor its digest
+    And the customers are listed with the number of their keys
+
+  Scenario: Waiting requests proceed by rank of their customer, then of their route
+    Then a request of a customer of rank 0 on a route of rank 5 goes before one of a customer of rank 1 on a route of rank 0
+    And among customers of one rank the route of rank 0 goes before that of rank 5
+    And requests without a customer go last
+
+  Scenario: Until the whole first configuration has come, a gateway says that nothing is unknown
+    Given the first part of a configuration has come without the controller's position
+    Then the gateway is not ready to tell what is unknown
+    When the rest comes with the controller's position
+    Then the gateway is ready to tell what is unknown
+
+  Scenario: A key that moves is served whichever update comes first
+    When the updates of a move of "key-a" from "alpha" to "beta" come in either order
+    Then the key belongs to "beta"
--- a/features/steps/customers.ts
+++ b/features/steps/customers.ts
@@ -1,6 +1,17 @@
 import assert from "node:assert/strict";
+import fs from "node:fs";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { asList, asRecord, parseJson, type UnknownRecord } from "../../src/common/decode.js";
+import Emittery from "emittery";
+import { setLogLevel } from "../../src/common/logger.js";
+import { digestApiKey } from "../../src/common/api-key-digest.js";
+import { toConfigUpdate } from "../../src/config/config-update.js";
+import { toCustomerRegister } from "../../src/config/validation.js";
+import type { UpdatePosition } from "../../src/membership/update-position.js";
+import type { UpdateSubscriber } from "../../src/membership/update-subscriber.js";
+import { InitialLoad } from "../../src/programs/gateway/initial-load.js";
+import { CustomerDirectory } from "../../src/proxy/customer-directory.js";
+import { priorityOf } from "../../src/proxy/request-priority.js";
 import { SmallSystem, type Reply } from "../support/small-system.js";
 import type { StubWorker } from "../support/stub-worker.js";
 
@@ -161,3 +172,117 @@
     [name],
   );
 });
+
+When(
+  "a request to the public route without a key claims to be of customer {string}",
+  async (customer: string) => {
+    reply = await running().request("POST", "/public/x", { [CUSTOMER_HEADER]: customer });
+  },
+);
+When("a request to the public route has the key {string}", async (key: string) => {
+  reply = await running().request("POST", "/public/x", { [KEY_HEADER]: key });
+});
+Then("the worker ran it for no customer", () => {
+  assert.equal(reply.status, 200);
+  const [request] = theWorker().requests;
+  assert.doesNotMatch(request?.head ?? "", new RegExp(`^${CUSTOMER_HEADER}:`, "im"));
+});
+
+/** Everything that the programs show besides the configuration. */
+const shownTexts = async (): Promise<readonly string[]> => {
+  const queries = ["customers", "nodes", "workers", "duty", "inspection", "retries"];
+  const answers: string[] = [];
+  for (const query of queries)
+    answers.push((await running().callController("GET", `/tell/${query}`)).body);
+  const metrics = running()
+    .metrics()
+    .map(({ name, read }) => `${name} ${JSON.stringify(read())}`);
+  return [...answers, ...metrics];
+};
+Then("metrics, queries and log lines contain neither an API key nor its digest", async () => {
+  const lines: string[] = [];
+  // The logger writes to the file descriptor of standard output by this function.
+  const { writeSync } = fs;
+  setLogLevel("debug");
+  Object.assign(fs, {
+    writeSync: (_file: number, line: string) => {
+      lines.push(line);
+      return Buffer.byteLength(line);
+    },
+  });
+  await put([customerOf("gamma", ["key-g"]), customerOf("delta", ["key-g"])]);
+  await put([customerOf("gamma", ["key-g"])]);
+  Object.assign(fs, { writeSync });
+  setLogLevel("silent");
+  assert.ok(lines.some((line) => line.includes("configuration change ended")));
+  const secrets = ["key-a", "key-b", "key-g"].flatMap((key) => [key, digestApiKey(key)]);
+  [...lines, ...(await shownTexts())].forEach((text) =>
+    secrets.forEach((secret) => assert.ok(!text.includes(secret), text)),
+  );
+});
+Then("the customers are listed with the number of their keys", async () => {
+  const { body } = await running().callController("GET", "/tell/customers");
+  const [first] = asList(asRecord(parseJson(body))["customers"]);
+  assert.deepEqual(first, { name: "alpha", rank: 0, version: 1, apiKeys: 1 });
+});
+
+const priority = (customerRank: number | undefined, routeRank: number): number =>
+  priorityOf({
+    customer: customerRank === undefined ? undefined : { rank: customerRank },
+    route: { priority: routeRank },
+  });
+Then(
+  "a request of a customer of rank {int} on a route of rank {int} goes before one of a customer of rank {int} on a route of rank {int}",
+  (rank: number, routeRank: number, otherRank: number, otherRouteRank: number) =>
+    assert.ok(priority(rank, routeRank) < priority(otherRank, otherRouteRank)),
+);
+Then(
+  "among customers of one rank the route of rank {int} goes before that of rank {int}",
+  (first: number, second: number) => assert.ok(priority(1, first) < priority(1, second)),
+);
+Then("requests without a customer go last", () =>
+  assert.ok(priority(1_000, 1_000) < priority(undefined, 0)),
+);
+
+type SubscriberEvents = UpdateSubscriber["events"];
+let subscriberEvents: SubscriberEvents = new Emittery();
+let initialLoad: InitialLoad | undefined;
+let isPartLoaded = false;
+const POSITION: UpdatePosition = { origin: "o", sequence: 1 };
+Given("the first part of a configuration has come without the controller's position", async () => {
+  subscriberEvents = new Emittery();
+  isPartLoaded = false;
+  initialLoad = new InitialLoad({ events: subscriberEvents }, () => isPartLoaded);
+  await subscriberEvents.emit("position", POSITION);
+  isPartLoaded = true;
+});
+Then("the gateway is not ready to tell what is unknown", () =>
+  assert.equal(initialLoad?.isComplete(), false),
+);
+When("the rest comes with the controller's position", () =>
+  subscriberEvents.emit("position", { ...POSITION, sequence: 2 }),
+);
+Then("the gateway is ready to tell what is unknown", () =>
+  assert.equal(initialLoad?.isComplete(), true),
+);
+
+const customerUpdate = (name: string, keys: readonly string[], version: number) => ({
+  ...toConfigUpdate(toCustomerRegister(customerOf(name, keys, version))),
+  sinceUs: 0,
+});
+let directories: readonly CustomerDirectory[] = [];
+When(
+  "the updates of a move of {string} from {string} to {string} come in either order",
+  (key: string, from: string, to: string) => {
+    const moves = [customerUpdate(from, [], 2), customerUpdate(to, [key], 2)];
+    directories = [moves, [...moves].reverse()].map((updates) => {
+      const directory = new CustomerDirectory();
+      directory.applyUpdates([customerUpdate(from, [key], 1)]);
+      updates.forEach((update) => directory.applyUpdates([update]));
+      return directory;
+    });
+  },
+);
+Then("the key belongs to {string}", (name: string) =>
+  directories.forEach((directory) => assert.equal(directory.find("key-a")?.name, name)),
+);
--- a/features/steps/thin-links.ts
+++ b/features/steps/thin-links.ts
@@ -4,7 +4,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { toRouteRegister } from "../../src/config/validation.js";
 import { CONFIG_PREFIX } from "../../src/membership/update-store.js";
-import { toConfigUpdate } from "../../src/programs/controller/config.js";
+import { toConfigUpdate } from "../../src/config/config-update.js";
 import { ManualClock } from "../support/manual-clock.js";
 import { RelayCluster, type RelayNode } from "../support/relay-cluster.js";
 
--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -6,6 +6,7 @@
 import { RetryBudgets } from "../../src/proxy/retry-budget.js";
 import { ProxyServer } from "../../src/proxy/proxy-server.js";
 import { IdempotencyClient } from "../../src/idempotency/key-client.js";
+import { CustomerDirectory } from "../../src/proxy/customer-directory.js";
 import { RouteTable } from "../../src/proxy/route-table.js";
 import { WorkerDirectory } from "../../src/proxy/worker-directory.js";
 import { summarize, generateLoad, type LoadReport } from "../../src/programs/loadgen/loadgen.js";
@@ -103,6 +104,7 @@
     log: silentLogger,
     zone: "c1",
     bufferMemoryBytes: 64 * 1024,
+    customers: new CustomerDirectory(),
     routes: table,
     workers: pool,
     retryBudgets: budgets,
--- a/features/support/proxy-updates.ts
+++ b/features/support/proxy-updates.ts
@@ -1,18 +1,14 @@
 /** Updates as a proxy server receives them from the control plane. */
 import assert from "node:assert/strict";
 import { parseChange } from "../../src/config/change-request.js";
-import { CONFIG_PREFIX, WORKER_PREFIX, type NewUpdate } from "../../src/membership/update-store.js";
+import { toConfigUpdate } from "../../src/config/config-update.js";
+import { WORKER_PREFIX, type NewUpdate } from "../../src/membership/update-store.js";
 
 /** Returns the updates of a valid configuration change, given as JSON. */
 export const configurationUpdates = (change: string): NewUpdate[] => {
   const parsed = parseChange(change);
   assert.ok(parsed.isOk);
-  return parsed.value.map((register) => ({
-    key: CONFIG_PREFIX + register.key,
-    version: register.version,
-    tie: "",
-    body: { dropped: false, item: register.body },
-  }));
+  return parsed.value.map(toConfigUpdate);
 };
 
 /** Returns the update of a ready worker of service "s1" in zone "c1". */
--- a/fuzz/proxy-harness.ts
+++ b/fuzz/proxy-harness.ts
@@ -6,6 +6,7 @@
 import { ProxyServer } from "../src/proxy/proxy-server.js";
 import { IdempotencyClient } from "../src/idempotency/key-client.js";
 import { RetryBudgets } from "../src/proxy/retry-budget.js";
+import { CustomerDirectory } from "../src/proxy/customer-directory.js";
 import { RouteTable } from "../src/proxy/route-table.js";
 import { WorkerDirectory } from "../src/proxy/worker-directory.js";
 import type { Clock, Timer } from "../src/common/clock.js";
@@ -134,6 +135,7 @@
     this.updates = new UpdateStore(clock);
     this.pool = new WorkerDirectory(clock, "n1", "c1");
     const table = new RouteTable();
+    const customers = new CustomerDirectory();
     const budgets = new RetryBudgets({
       clock,
       log: silentLogger,
@@ -147,6 +149,7 @@
       zone: "c1",
       bufferMemoryBytes: 4 * 1024 * 1024,
       routes: table,
+      customers,
       workers: this.pool,
       retryBudgets: budgets,
       connectionShare: () => 10,
@@ -158,6 +161,7 @@
       idempotency: new IdempotencyClient(clock, keyService.ask, keyService.notify),
     });
     this.updates.events.on("changed", (facts) => {
+      customers.applyUpdates(facts);
       table.applyUpdates(facts);
       this.pool.applyUpdates(facts);
       this.proxy.wake();
--- a/src/common/http-outcomes.ts
+++ b/src/common/http-outcomes.ts
@@ -31,6 +31,7 @@
   unreadable: outcome(400, "unreadable"),
   wrong: outcome(400, "wrong"),
   malformed: outcome(400, "malformed", false, true),
+  unknownApiKey: outcome(401, "a known API key is wanted"),
   unknownRoute: outcome(404, "no such route"),
   unknownCall: outcome(404, "no such call"),
   unknownRollout: outcome(404, "no such split route"),
--- a/src/config/config-keys.ts
+++ b/src/config/config-keys.ts
@@ -22,6 +22,9 @@
 /** Returns the register key of a customer. */
 export const customerKey = (name: string): string => CUSTOMER_PREFIX + name;
 
+/** Returns the name of a customer by its register key. */
+export const customerNameOf = (key: string): string => key.slice(CUSTOMER_PREFIX.length);
+
 /** Whether the key belongs to a customer. */
 export const isCustomerKey = (key: string): boolean => key.startsWith(CUSTOMER_PREFIX);
 
--- a/src/config/customer-keys.ts
+++ b/src/config/customer-keys.ts
@@ -2,7 +2,14 @@
  * API keys of customers. An API key belongs to one customer at most; the condition is checked on
  * the customers as they would be in force after a change.
  */
-import { asRecord, asString, parseJson, readList, readString } from "../common/decode.js";
+import {
+  asRecord,
+  asString,
+  parseJson,
+  readList,
+  readString,
+  type UnknownRecord,
+} from "../common/decode.js";
 import type { Register } from "../consensus/register.js";
 import { isCustomerKey } from "./config-keys.js";
 
@@ -20,6 +27,15 @@
   keys.length > MAX_KEYS_TO_SEARCH ||
   keys.some((key) => customer.body.includes(JSON.stringify(key)));
 
+/** Describes the customers in force, with the number of their API keys instead of the keys. */
+export const describeCustomers = (registers: readonly Register[]): readonly UnknownRecord[] =>
+  registers
+    .filter(({ key, dropped }) => isCustomerKey(key) && !dropped)
+    .map((register) => {
+      const { name, rank = 0, version } = asRecord(parseJson(register.body));
+      return { name, rank, version, apiKeys: keysOf(register).length };
+    });
+
 /** The newest customers of a change, without those that are outdated or removed. */
 const effectiveCustomers = (
   change: readonly Register[],
--- a/src/membership/update-publisher.ts
+++ b/src/membership/update-publisher.ts
@@ -2,7 +2,13 @@
 import type { Clock, Timer } from "../common/clock.js";
 import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
 import type { Connection, Message } from "../transport/connection.js";
-import { CONFIG_PREFIX, WORKER_PREFIX, type Update, type UpdateStore } from "./update-store.js";
+import {
+  CONFIG_PREFIX,
+  CUSTOMER_PREFIX,
+  WORKER_PREFIX,
+  type Update,
+  type UpdateStore,
+} from "./update-store.js";
 import type { ClusterSize } from "./cluster.js";
 import { MessageKind, packClusterSize, withAcknowledgement } from "./messages.js";
 import { UpdateFeeds, type UpdateFrame } from "./update-feed.js";
@@ -27,6 +33,7 @@
  */
 const isTimeBound = ({ key, body }: Update): boolean =>
   key.startsWith(CONFIG_PREFIX) ||
+  key.startsWith(CUSTOMER_PREFIX) ||
   (key.startsWith(WORKER_PREFIX) && (body["state"] === "draining" || body["state"] === "gone"));
 
 /** Options of {@link UpdatePublisher}. */
--- a/src/membership/update-store.ts
+++ b/src/membership/update-store.ts
@@ -106,6 +106,8 @@
 export const PURGE_PREFIX = "purge/";
 /** Prefix of the keys of configuration items. */
 export const CONFIG_PREFIX = "plan/";
+/** Prefix of the keys of customers; followed by the customer's name. */
+export const CUSTOMER_PREFIX = "customer/";
 /** Key of the ejected workers. */
 export const EJECTIONS_KEY = "ejections";
 /** Key of the capacity forecast. */
--- a/src/programs/controller/config.ts
+++ b/src/programs/controller/config.ts
@@ -7,6 +7,7 @@
 import { err, type Result } from "true-myth/result";
 import { parseChangeIncrementally } from "../../config/change-request.js";
 import { findProblemOf, toConfigDocument } from "../../config/config-document.js";
+import { toConfigUpdate } from "../../config/config-update.js";
 import { countByKind, CUSTOMERS_SERIALIZATION_KEY, isConfigKey } from "../../config/config-keys.js";
 import { putsCustomers } from "../../config/customer-keys.js";
 import type { Register } from "../../consensus/register.js";
@@ -15,7 +16,6 @@
 import {
   EJECTIONS_KEY,
   FORECAST_KEY,
-  CONFIG_PREFIX,
   RETRIES_KEY,
   ROLLOUTS_KEY,
   type NewUpdate,
@@ -36,17 +36,6 @@
   [PUBLISHED_REGISTER.retryLimits]: RETRIES_KEY,
 };
 
-/**
- * Converts a committed item to an update. The tie-breaker stays empty: a committed version always
- * has the same content, and a digest would make up half of a large update.
- */
-export const toConfigUpdate = (register: Register): NewUpdate => ({
-  key: CONFIG_PREFIX + register.key,
-  version: register.version,
-  tie: "",
-  body: { dropped: register.dropped, item: register.body },
-});
-
 const toPublishedUpdate = (key: string, { version, digest, body }: Register): NewUpdate => ({
   key,
   version,
--- a/src/programs/controller/controller.ts
+++ b/src/programs/controller/controller.ts
@@ -17,6 +17,7 @@
 import { KEEP_ALIVE } from "../data-plane-node.js";
 import { serveApi, type ApiRoute } from "../http-api.js";
 import type { RunningProgram } from "../running-program.js";
+import { describeCustomers } from "../../config/customer-keys.js";
 import { backendForecastRoutes } from "./backend-forecast.js";
 import { configRoutes, publishCommitted } from "./config.js";
 import { openConsensus } from "./consensus.js";
@@ -130,6 +131,7 @@
   const fleetQueries: QueryHandlers = {
     nodes: () => nodes.sessions.nodes().map(packNode),
     workers: () => registry.all().map(packHeartbeat),
+    customers: () => describeCustomers(store.committedRegisters()),
     duty: replicaStatus.describeLeaderLease,
     ...health.queries,
     retries: retries.describeUsage,
--- a/src/programs/ctl/commands/queries.ts
+++ b/src/programs/ctl/commands/queries.ts
@@ -1,4 +1,4 @@
-/** The queries that print one table each: `nodes`, `workers`, `inspection`, `keys`, `goods`. */
+/** The queries that print one table each: `customers`, `nodes`, `workers`, `inspection`, `keys`, `goods`. */
 import type { Command } from "commander";
 import { toRows } from "../json-values.js";
 import {
@@ -16,6 +16,7 @@
  * have the same name.
  */
 const QUERIES: Readonly<Record<string, string>> = {
+  customers: "list the customers, with the number of their API keys",
   nodes: "list the gateways with a session",
   workers: "list the workers by their last heartbeats",
   inspection: "show faults by worker, ejections and the zonal shift, with their reasons",
--- a/src/programs/gateway/data-plane.ts
+++ b/src/programs/gateway/data-plane.ts
@@ -11,17 +11,22 @@
 import type { ProxyServer } from "../../proxy/proxy-server.js";
 import { RequestCounters } from "../../proxy/request-counters.js";
 import type { RetryBudgets } from "../../proxy/retry-budget.js";
+import { CustomerDirectory } from "../../proxy/customer-directory.js";
 import { RouteTable } from "../../proxy/route-table.js";
 import { WorkerDirectory } from "../../proxy/worker-directory.js";
 import { loggerFor } from "../../common/logger.js";
-import { CONFIG_PREFIX, type Update } from "../../membership/update-store.js";
+import { CONFIG_PREFIX, CUSTOMER_PREFIX, type Update } from "../../membership/update-store.js";
 import type { DataPlaneNode } from "../data-plane-node.js";
+import { InitialLoad } from "./initial-load.js";
 import { OutcomeCounts } from "./outcome-counts.js";
 import { openRetryBudgets } from "./retry-budgets.js";
 
 /** The state that requests are served with. */
 export interface DataPlane {
   readonly routes: RouteTable;
+  readonly customers: CustomerDirectory;
+  /** Whether the first configuration has been received as a whole. */
+  readonly isComplete: () => boolean;
   readonly workers: WorkerDirectory;
   readonly faults: FaultCounters;
   readonly canary: CanaryCounters;
@@ -50,7 +55,9 @@
   tookUs: number,
   { subscriber, publisher }: Pick<DataPlaneNode, "subscriber" | "publisher">,
 ): void => {
-  const items = changed.filter(({ key }) => key.startsWith(CONFIG_PREFIX));
+  const items = changed.filter(
+    ({ key }) => key.startsWith(CONFIG_PREFIX) || key.startsWith(CUSTOMER_PREFIX),
+  );
   if (items.length === 0) return;
   loggerFor("data-plane").info("configuration applied", {
     items: items.length,
@@ -68,6 +75,8 @@
   { updates, subscriber, publisher }: Pick<DataPlaneNode, "updates" | "subscriber" | "publisher">,
 ): DataPlane => {
   const routes = new RouteTable();
+  const customers = new CustomerDirectory();
+  const initialLoad = new InitialLoad(subscriber, () => routes.isLoaded);
   const workers = new WorkerDirectory(clock, settings.name, settings.zone);
   const incarnation = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
   const faults = new FaultCounters(incarnation);
@@ -77,6 +86,7 @@
   const subscribe = (server: ProxyServer): void => {
     updates.events.on("changed", (changed) => {
       const beganUs = clock.nowUs();
+      customers.applyUpdates(changed);
       routes.applyUpdates(changed);
       workers.applyUpdates(changed);
       canary.retain(routes.isCurrent);
@@ -100,6 +110,8 @@
 
   return {
     routes,
+    customers,
+    isComplete: initialLoad.isComplete,
     workers,
     faults,
     canary,
--- a/src/programs/gateway/gateway.ts
+++ b/src/programs/gateway/gateway.ts
@@ -50,6 +50,7 @@
     zone,
     bufferMemoryBytes: ((settings.memoryMb || DEFAULT_MEMORY_MB) * MB) / BUFFER_MEMORY_DIVISOR,
     routes: dataPlane.routes,
+    customers: dataPlane.customers,
     workers: dataPlane.workers,
     retryBudgets: dataPlane.retryBudgets,
     isBehind,
@@ -107,12 +108,13 @@
       subscriber,
       countFault: dataPlane.faults.count,
     });
-  const server = openProxyServer(settings, clock, dataPlane, objectCache, node.lag.isBehind);
+  const isBehind = () => node.lag.isBehind() || !dataPlane.isComplete();
+  const server = openProxyServer(settings, clock, dataPlane, objectCache, isBehind);
   dataPlane.subscribe(server);
   let isStopping = false;
   const isReady = (): boolean =>
     !isStopping &&
-    !node.lag.isBehind() &&
+    !isBehind() &&
     !workers.isDrained(settings.zone) &&
     routes.isLoaded &&
     workers.size > 0;
--- a/src/programs/gateway/metrics.ts
+++ b/src/programs/gateway/metrics.ts
@@ -65,6 +65,11 @@
     help: "Routes in force here.",
     read: () => dataPlane.routes.size,
   },
+  {
+    name: "yewreel_config_customers",
+    help: "Customers in force here; with any, requests need an API key.",
+    read: () => dataPlane.customers.size,
+  },
   {
     name: "yewreel_open_requests",
     help: "Requests read and not yet answered.",
--- a/src/proxy/admission-queue.ts
+++ b/src/proxy/admission-queue.ts
@@ -1,6 +1,7 @@
 /** Queue of requests waiting for a worker with free capacity. */
 import type { Clock, Timer } from "../common/clock.js";
 import type { Worker } from "./worker.js";
+import { priorityOf } from "./request-priority.js";
 import type { RequestContext } from "./request-context.js";
 
 interface QueuedRequest {
@@ -34,7 +35,7 @@
     const worker = this.choose(context);
     if (worker || waitUs <= 0) return Promise.resolve(worker);
     return new Promise((resolve) => {
-      const priority = context.route?.priority ?? 0;
+      const priority = priorityOf(context);
       const entry: QueuedRequest = {
         context,
         priority,
--- a/src/proxy/forwarding.ts
+++ b/src/proxy/forwarding.ts
@@ -7,7 +7,13 @@
 import type { Worker } from "./worker.js";
 import type { WorkerDirectory } from "./worker-directory.js";
 import { beginAttempt, markRejected, markRun } from "./delivery-state.js";
-import { EXPECTED_WORKER_HEADER, forwardedHeaders, TIME_LEFT_HEADER } from "./headers.js";
+import {
+  API_KEY_HEADER,
+  CUSTOMER_HEADER,
+  EXPECTED_WORKER_HEADER,
+  forwardedHeaders,
+  TIME_LEFT_HEADER,
+} from "./headers.js";
 import type { KeyedRequests } from "./keyed-requests.js";
 import type { LoadBalancer } from "./load-balancer.js";
 import type { MemoryBudget } from "./memory-budget.js";
@@ -21,8 +27,10 @@
 
 /** A request waits for a free worker for at most the latency target divided by this. */
 const ADMISSION_TARGET_DIVISOR = 8;
-/** Headers that the gateway sets itself. */
+/** Headers that the gateway sets itself, and the client's API key. */
 const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  API_KEY_HEADER,
+  CUSTOMER_HEADER,
   TIME_LEFT_HEADER,
   EXPECTED_WORKER_HEADER,
   "content-length",
@@ -132,6 +140,7 @@
     const leftUs = context.deadlineUs - this.options.clock.nowUs();
     const leftMs = Math.max(1, Math.floor(leftUs / MILLISECOND_US));
     headers.push("Yewreel-Time-Left-Ms", String(leftMs), "Yewreel-Expect-Worker", worker.id);
+    if (context.customer) headers.push("Yewreel-Customer", context.customer.name);
     const length = context.req.headers["content-length"];
     if (!isBodyBuffered(context) && length !== undefined) headers.push("Content-Length", length);
     return headers;
--- a/src/proxy/headers.ts
+++ b/src/proxy/headers.ts
@@ -17,6 +17,10 @@
 export const LABELS_HEADER = "yewreel-labels";
 /** The idempotency key of an operation. */
 export const IDEMPOTENCY_KEY_HEADER = "yewreel-operation-key";
+/** The client's API key; never forwarded. */
+export const API_KEY_HEADER = "yewreel-credential";
+/** The name of the customer that holds the client's API key, for the worker. */
+export const CUSTOMER_HEADER = "yewreel-customer";
 /** Set by a worker that did not run the request and will not run it. */
 export const NOT_RUN_HEADER = "yewreel-not-run";
 
--- a/src/proxy/keyed-requests.ts
+++ b/src/proxy/keyed-requests.ts
@@ -46,6 +46,10 @@
   readonly random: () => number;
 }
 
+/** Idempotency keys are separate for each host and, where there are customers, each customer. */
+const scopeKey = ({ customer }: RequestContext, { host }: Route, key: string): string =>
+  [host, ...(customer ? [customer.name] : []), key].join("\n");
+
 /** Ensures that the operation of an idempotency key runs only once. */
 export class KeyedRequests {
   constructor(private readonly options: KeyedRequestsOptions) {}
@@ -61,7 +65,7 @@
       writer.reject(context, "noKey");
       return false;
     }
-    const key = `${route.host}\n${keyHeader}`;
+    const key = scopeKey(context, route, keyHeader);
     const untilUs = Math.min(
       context.arrivedUs + route.latencyTargetUs / CLAIM_TARGET_DIVISOR,
       context.deadlineUs,
--- a/src/proxy/pipeline.ts
+++ b/src/proxy/pipeline.ts
@@ -4,6 +4,7 @@
 import type { IdempotencyClient } from "../idempotency/key-client.js";
 import { BodyReader } from "./body-reader.js";
 import { CachedRequests } from "./cached-requests.js";
+import type { CustomerDirectory } from "./customer-directory.js";
 import type { WorkerDirectory } from "./worker-directory.js";
 import { Forwarder } from "./forwarding.js";
 import { KeyedRequests } from "./keyed-requests.js";
@@ -14,6 +15,7 @@
 import { PipelineStage } from "./pipeline-stage.js";
 import { RequestCompletion } from "./request-completion.js";
 import type { RequestContext } from "./request-context.js";
+import { priorityOf } from "./request-priority.js";
 import { RequestRouter } from "./request-routing.js";
 import { ResponseWriter } from "./response-writer.js";
 import type { RetryBudgets } from "./retry-budget.js";
@@ -41,6 +43,7 @@
   /** Memory limit for all buffered bodies together. */
   readonly bufferMemoryBytes: number;
   readonly routes: RouteTable;
+  readonly customers: CustomerDirectory;
   readonly workers: WorkerDirectory;
   readonly retryBudgets: RetryBudgets;
   /**
@@ -89,8 +92,16 @@
     private readonly options: PipelineOptions,
     isDraining: () => boolean,
   ) {
-    const { clock, bufferMemoryBytes, routes, retryBudgets, random, idempotency, objects } =
-      options;
+    const {
+      clock,
+      bufferMemoryBytes,
+      routes,
+      customers,
+      retryBudgets,
+      random,
+      idempotency,
+      objects,
+    } = options;
     const { countOutcome, countCanaryOutcome, loadCounters } = options;
     const stalls = new StallDetector(clock);
     this.memory = new MemoryBudget(bufferMemoryBytes);
@@ -110,10 +121,11 @@
       MAX_FORWARDING,
       MAX_FORWARDING,
       retrying.forward,
-      (context) => context.route?.priority ?? 0,
+      priorityOf,
     );
     const router = new RequestRouter({
       routes,
+      customers,
       retryBudgets,
       isBehind: options.isBehind ?? (() => false),
       random,
--- a/src/proxy/proxy-server.ts
+++ b/src/proxy/proxy-server.ts
@@ -145,6 +145,7 @@
       attemptId: String(req.headers[ATTEMPT_ID_HEADER] ?? ""),
       deadlineUs: arrivedUs + (hasTimeLeft ? leftMs * MILLISECOND_US : DEFAULT_TIME_LEFT_US),
       route: undefined,
+      customer: undefined,
       service: "",
       body: null,
       triedWorkers: new Set(),
--- a/src/proxy/request-context.ts
+++ b/src/proxy/request-context.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
 import type { ClientConnection } from "./client-connection.js";
+import type { Customer } from "./customer-directory.js";
 import type { DeliveryState } from "./delivery-state.js";
 import type { Route } from "./route-table.js";
 import type { CancellableRequest } from "./upstream-request.js";
@@ -32,6 +33,8 @@
    */
   deadlineUs: number;
   route: Route | undefined;
+  /** The customer that holds the request's API key, if any. */
+  customer: Customer | undefined;
   service: string;
   body: Buffer | Readable | null;
   /**
--- a/src/proxy/request-routing.ts
+++ b/src/proxy/request-routing.ts
@@ -1,9 +1,11 @@
 /**
- * Second pipeline stage: finds the route of a request by host and path prefix, and picks a service
- * by weight.
+ * Second pipeline stage: finds the route of a request by host and path prefix, authenticates its
+ * customer by API key, and picks a service by weight.
  */
 import type { OutcomeName } from "../common/http-outcomes.js";
 import { toRouteKind } from "../quota/retry-limits.js";
+import type { CustomerDirectory } from "./customer-directory.js";
+import { API_KEY_HEADER } from "./headers.js";
 import type { RequestContext } from "./request-context.js";
 import type { RetryBudgets } from "./retry-budget.js";
 import type { Route, RouteTable } from "./route-table.js";
@@ -11,6 +13,7 @@
 /** Dependencies of {@link RequestRouter}. */
 export interface RequestRouterOptions {
   readonly routes: RouteTable;
+  readonly customers: CustomerDirectory;
   readonly retryBudgets: RetryBudgets;
   /** Returns whether a configuration was announced that this node has not received. */
   readonly isBehind: () => boolean;
@@ -42,7 +45,7 @@
   /** Sets the route, the service and the deadline of a request, and passes it to the next stage. */
   // eslint-disable-next-line complexity -- a sequence of early returns without nesting
   readonly route = (context: RequestContext): void => {
-    const { routes, random, retryBudgets, reject } = this.options;
+    const { routes, customers, random, retryBudgets, reject } = this.options;
     const { req } = context;
     if (context.isFinished) return;
     if (!routes.isLoaded) {
@@ -60,6 +63,12 @@
       reject(context, "unknownRoute");
       return;
     }
+    const apiKey = req.headers[API_KEY_HEADER];
+    context.customer = typeof apiKey === "string" ? customers.find(apiKey) : undefined;
+    if (!context.customer && customers.size > 0 && !route.isPublic) {
+      reject(context, "unknownApiKey");
+      return;
+    }
     context.route = route;
     context.service = routes.effectiveService(route, drawService(route, random()));
     context.deadlineUs = Math.min(context.deadlineUs, context.arrivedUs + route.timeoutUs);
--- a/src/proxy/response-writer.ts
+++ b/src/proxy/response-writer.ts
@@ -19,6 +19,9 @@
   readonly countRejected?: (service: string) => void;
 }
 
+const UNAUTHORIZED = 401;
+/** A response with 401 names the scheme to use (RFC 9110, section 11.6.1). */
+const CHALLENGE = "Yewreel-Credential";
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 const MIN_RETRY_AFTER_US = 50 * MILLISECOND_US;
@@ -88,6 +91,7 @@
     this.options.outcomes.recordRejection(context, name);
     this.closeAfter(context, outcome.closesConnection);
     const body = JSON.stringify({ problem: outcome.problem });
+    if (outcome.status === UNAUTHORIZED) res.setHeader("WWW-Authenticate", CHALLENGE);
     if (outcome.retryAfter) res.setHeader("Retry-After", retryAfterSeconds(route, minRetryAfterUs));
     res.writeHead(outcome.status, {
       "Content-Type": "application/json",
--- a/src/proxy/route-table.ts
+++ b/src/proxy/route-table.ts
@@ -18,6 +18,8 @@
   /** How long a response may be cached; 0 unless the route is cached. */
   readonly cacheTtlUs: number;
   readonly latencyTargetUs: number;
+  /** Whether requests need no API key. */
+  readonly isPublic: boolean;
   readonly priority: number;
   readonly version: number;
   /** Invariant: not empty, with weights that add up to more than 0. */
@@ -67,6 +69,7 @@
     isSafe: rule["routeKind"] === "safe" || rule["routeKind"] === "cached",
     cacheTtlUs: rule["routeKind"] === "cached" ? parseDuration(rule["cacheFor"]).unwrapOr(0) : 0,
     latencyTargetUs: parseDuration(rule["target_time"]).unwrapOr(SECOND_US),
+    isPublic: rule["public"] === true,
     priority: typeof rule["rank"] === "number" ? rule["rank"] : 0,
     version: readNumber(rule, "version"),
     weightedServices: readWeightedServices(action),
@@ -170,7 +173,7 @@
     } else if (key.startsWith("service/")) {
       if (isDeleted) this.services.delete(key.slice("service/".length));
       else this.applyService(item);
-    } else if (!isDeleted) this.applyLimits(item);
+    } else if (key === "limits" && !isDeleted) this.applyLimits(item);
   };
 
   private readonly applyService = (item: string): void => {
