--- a/features/support/stub-worker.ts
+++ b/features/support/stub-worker.ts
@@ -29,6 +29,8 @@
 export class StubWorker {
   readonly requests: ReceivedRequest[] = [];
   connections = 0;
+  /** Whether a request with this head may run; otherwise it is rejected with 421. */
+  mayRun: (head: string) => boolean = () => true;
   private server: Server | undefined;
   private readonly sockets = new Set<Socket>();
 
@@ -74,6 +76,12 @@
         const body = unread.slice(end + 4, end + 4 + length);
         unread = unread.slice(end + 4 + length);
         const attemptId = headerValue(head, "yewreel-try-id");
+        if (!this.mayRun(head)) {
+          socket.write(
+            `HTTP/1.1 421 Misdirected Request\r\nYewreel-Try-Id: ${attemptId}\r\nYewreel-Not-Run: 1\r\nContent-Length: 0\r\n\r\n`,
+          );
+          continue;
+        }
         this.requests.push({
           head,
           body,
