The keys of sharded services are divided among their workers and granted by heartbeats

The leader now decides a table for each sharded service, a register written under its term, with an owner and a fence for each range. Controllers answer heartbeats with the rows that a quorum read begun after the heartbeat shows; a lease counts from the sending of the heartbeat. A range gets another owner after the old one has released it in a later call, or after the hold, 5% longer, has passed since the releasing state was seen committed; so two workers never hold a key. Keys of draining, gone and silent workers go to the least loaded one, with the handover token where there is one; a worker without keys takes over half a range of a loaded one, few at a time. Gateways learn the owners as updates and send a request only to the owner of its Yewreel-Shard-Key; a 421 of the owner does not remove it from the directory. A sharded service that wants grants by calls is refused. yewreel ctl shards shows the tables.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -25,7 +25,7 @@
 const LAYERS = [
   ["common"],
   ["transport"],
-  ["storage", "membership", "quota", "health"],
+  ["storage", "membership", "quota", "health", "sharding"],
   ["consensus"],
   ["config", "idempotency"],
   ["proxy"],
--- a/features/steps/traffic.ts
+++ b/features/steps/traffic.ts
@@ -7,6 +7,7 @@
 import { ProxyServer } from "../../src/proxy/proxy-server.js";
 import { IdempotencyClient } from "../../src/idempotency/key-client.js";
 import { CustomerDirectory } from "../../src/proxy/customer-directory.js";
+import { ShardDirectory } from "../../src/proxy/shard-directory.js";
 import { RouteTable } from "../../src/proxy/route-table.js";
 import { WorkerDirectory } from "../../src/proxy/worker-directory.js";
 import { summarize, generateLoad, type LoadReport } from "../../src/programs/loadgen/loadgen.js";
@@ -105,6 +106,7 @@
     zone: "c1",
     bufferMemoryBytes: 64 * 1024,
     customers: new CustomerDirectory(),
+    shards: new ShardDirectory(),
     routes: table,
     workers: pool,
     retryBudgets: budgets,
--- a/features/support/sharded-worker.ts
+++ b/features/support/sharded-worker.ts
@@ -9,6 +9,7 @@
   readonly from: number;
   readonly to: number;
   readonly fence: number;
+  readonly handover: string;
 }
 
 /** Ratio of a worker's clock to true time: the slowest that is allowed. */
@@ -38,6 +39,10 @@
     this.clock.nowUs() < this.expiresUs &&
     this.holds.some(({ from, to }) => from <= key && key <= to);
 
+  /** The granted range of the key; undefined if the worker does not hold it. */
+  readonly rangeOf = (key: number): HeldRange | undefined =>
+    this.holdsKey(key) ? this.holds.find(({ from, to }) => from <= key && key <= to) : undefined;
+
   /** The next heartbeat, to be followed by `applyAnswer` with the time at which it was sent. */
   readonly nextHeartbeat = (service: string): string => {
     this.callCount += 1;
@@ -63,8 +68,12 @@
     if (answer["holds"] === undefined) return;
     const granted = asList(answer["holds"]).map((value): HeldRange => {
       const [from, to, fence, handover] = asList(value);
-      asString(handover);
-      return { from: asNumber(from), to: asNumber(to), fence: asNumber(fence) };
+      return {
+        from: asNumber(from),
+        to: asNumber(to),
+        fence: asNumber(fence),
+        handover: asString(handover),
+      };
     });
     this.released = this.holds
       .filter((held) => !granted.some((row) => isSame(row, held)))
--- a/features/support/small-system.ts
+++ b/features/support/small-system.ts
@@ -174,6 +174,7 @@
     staleSlackUs: 2_000_000,
     ceilingWindowUs: 5_000_000,
     ceilingExcess: 1.1,
+    holdMaxUs: 10_000_000,
     metrics: new Map(),
     forecastActs: false,
     rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
--- a/fuzz/proxy-harness.ts
+++ b/fuzz/proxy-harness.ts
@@ -7,6 +7,7 @@
 import { IdempotencyClient } from "../src/idempotency/key-client.js";
 import { RetryBudgets } from "../src/proxy/retry-budget.js";
 import { CustomerDirectory } from "../src/proxy/customer-directory.js";
+import { ShardDirectory } from "../src/proxy/shard-directory.js";
 import { RouteTable } from "../src/proxy/route-table.js";
 import { WorkerDirectory } from "../src/proxy/worker-directory.js";
 import type { Clock, Timer } from "../src/common/clock.js";
@@ -150,6 +151,7 @@
       bufferMemoryBytes: 4 * 1024 * 1024,
       routes: table,
       customers,
+      shards: new ShardDirectory(),
       workers: this.pool,
       retryBudgets: budgets,
       connectionShare: () => 10,
--- a/src/common/http-outcomes.ts
+++ b/src/common/http-outcomes.ts
@@ -39,6 +39,7 @@
   versionTaken: outcome(409, "the version is agreed with another content"),
   notStopped: outcome(409, "nothing is stopped there"),
   noKey: outcome(400, "an operation key of 1 to 200 signs is wanted"),
+  noShardKey: outcome(400, "a shard key from 0 to 65535 is wanted"),
   noTryId: outcome(400, "a Yewreel-Try-Id is wanted"),
   keyAtWork: outcome(409, "the key is at work"),
   pastTheEnd: outcome(416, "past the end"),
--- a/src/common/settings.ts
+++ b/src/common/settings.ts
@@ -154,6 +154,7 @@
       staleSlack: { format: "span", default: 2 * SECOND_US },
       ceilingWindow: { format: "span", default: 5 * SECOND_US },
       ceilingExcess: { format: Number, default: 1.1 },
+      holdMax: { format: "span", default: 10 * SECOND_US },
     },
   });
 
@@ -200,6 +201,8 @@
   readonly staleSlackUs: number;
   readonly ceilingWindowUs: number;
   readonly ceilingExcess: number;
+  /** The longest time for which keys may be granted to a worker of a sharded service. */
+  readonly holdMaxUs: number;
   /**
    * Metrics endpoint of each program, by program; a program that is not listed serves no metrics.
    */
@@ -259,6 +262,7 @@
       staleSlackUs: cfg.get("bounds.staleSlack"),
       ceilingWindowUs: cfg.get("bounds.ceilingWindow"),
       ceilingExcess: cfg.get("bounds.ceilingExcess"),
+      holdMaxUs: cfg.get("bounds.holdMax"),
       metrics: readEndpoints(cfg.get("metrics")),
       forecastActs: cfg.get("forecast.acts"),
       rolloutWeights: cfg.get("rollout"),
--- a/src/config/item-schema.ts
+++ b/src/config/item-schema.ts
@@ -6,6 +6,8 @@
 /** Maximum value of `giveUp`, the total time for which a request may be attempted. */
 const MAX_GIVE_UP_US = 600 * SECOND_US;
 
+/** How the workers of a sharded service are granted their keys. */
+const GRANTS_BY_HEARTBEAT = "heartbeat";
 const MAX_API_KEY_LENGTH = 256;
 const API_KEY = new RegExp(`^[!-~]{1,${MAX_API_KEY_LENGTH}}$`);
 
@@ -102,6 +104,8 @@
   maxConnections: { format: "nat", default: 0 },
   ratePerS: { format: "rate", default: 0 },
   dropsRepeats: { format: Boolean, default: false },
+  sharded: { format: Boolean, default: false },
+  grants: { format: String, default: "" },
 });
 
 const customerSchema = convict({
@@ -138,6 +142,8 @@
   maxConnections: 0,
   ratePerS: 0,
   dropsRepeats: false,
+  sharded: false,
+  grants: "",
 };
 const LIMITS_DEFAULTS: UnknownRecord = {
   version: -1,
@@ -177,8 +183,11 @@
  *
  * @throws if a field violates the schema
  */
-export const validateService = (service: UnknownRecord): void =>
+export const validateService = (service: UnknownRecord): void => {
   validate(serviceSchema, SERVICE_DEFAULTS, service);
+  if (service["sharded"] === true && service["grants"] !== GRANTS_BY_HEARTBEAT)
+    throw new Error(`grants: must be "${GRANTS_BY_HEARTBEAT}" for a sharded service`);
+};
 
 /**
  * Validates the fields of a customer.
--- a/src/config/validation.ts
+++ b/src/config/validation.ts
@@ -59,6 +59,8 @@
       "maxConnections",
       "ratePerS",
       "dropsRepeats",
+      "sharded",
+      "grants",
     ]),
   );
   return makeRegister(
--- a/src/membership/update-store.ts
+++ b/src/membership/update-store.ts
@@ -108,6 +108,8 @@
 export const CONFIG_PREFIX = "plan/";
 /** Prefix of the keys of customers; followed by the customer's name. */
 export const CUSTOMER_PREFIX = "customer/";
+/** Prefix of the keys of shard owners; followed by the service. */
+export const SHARDS_PREFIX = "shards/";
 /** Key of the ejected workers. */
 export const EJECTIONS_KEY = "ejections";
 /** Key of the capacity forecast. */
--- a/src/programs/controller/controller.ts
+++ b/src/programs/controller/controller.ts
@@ -34,6 +34,7 @@
 import { QuorumReader } from "./quorum-reader.js";
 import { RetryQuota } from "./retry-quota.js";
 import { restoreWorkers } from "./worker-memory.js";
+import { Sharding } from "./sharding.js";
 import { VisibilityCheck } from "./visibility-check.js";
 import { openWorkers } from "./workers.js";
 
@@ -63,7 +64,8 @@
   const { store, lease } = consensus;
   const published = new PublishedState(store, lease);
   const quorum = new QuorumReader({ ...shared, onRegained: registry.restartListening });
-  const workers = openWorkers(shared);
+  const sharding = new Sharding(shared);
+  const workers = openWorkers({ ...shared, sharding });
   const nodes = openNodeSessions({
     ...shared,
     mayServeNodes: quorum.mayServeNodes,
@@ -89,6 +91,7 @@
     ...shared,
     consensus,
     quorum,
+    sharding,
     workers,
     nodes,
     content,
@@ -107,11 +110,11 @@
  * dispatches requests from peers.
  */
 const openPeerServer = (subsystems: Subsystems): PeerServer => {
-  const { consensus, workers, nodes, content, health, retries, replicaStatus, visibility, peers } =
-    subsystems;
+  const { consensus, sharding, workers, nodes, content, health, retries } = subsystems;
+  const { replicaStatus, visibility, peers } = subsystems;
   nodes.requests.register({ ...retries.nodeHandlers, ...content?.nodeHandlers });
   const requests = new MessageDispatcher(content?.peerFallback);
-  [consensus, workers, nodes, health, retries, replicaStatus, visibility].forEach(
+  [consensus, sharding, workers, nodes, health, retries, replicaStatus, visibility].forEach(
     ({ peerHandlers }) => requests.register(peerHandlers),
   );
   if (content) requests.register(content.peerHandlers);
@@ -129,6 +132,7 @@
   const { store, registry, workers, nodes, content, health, retries, replicaStatus, visibility } =
     subsystems;
   const fleetQueries: QueryHandlers = {
+    shards: subsystems.sharding.describe,
     nodes: () => nodes.sessions.nodes().map(packNode),
     workers: () => registry.all().map(packHeartbeat),
     customers: () => describeCustomers(store.committedRegisters()),
@@ -180,6 +184,7 @@
   });
   lease.start();
   health.start();
+  subsystems.sharding.start();
   log.info("controller started", { address: settings.control });
 
   return {
@@ -192,6 +197,7 @@
     stop: async () => {
       log.info("controller stopping", { address: settings.control });
       health.close();
+      subsystems.sharding.close();
       await consensus.close();
       controlLoop.close();
       content?.close();
--- a/src/programs/controller/peer-messages.ts
+++ b/src/programs/controller/peer-messages.ts
@@ -21,6 +21,7 @@
   leaseRate: "rate-ask",
   applyCommitted: "settled",
   confirmPosted: "posted",
+  reportShards: "shards-released",
 } as const;
 
 /** Kinds of requests that the leader lease handles. */
--- a/src/programs/controller/workers.ts
+++ b/src/programs/controller/workers.ts
@@ -11,13 +11,15 @@
 import type { Peers } from "../../membership/peers.js";
 import type { WorkerRegistry } from "../../membership/worker-registry.js";
 import type { Clock } from "../../common/clock.js";
-import { asRecord, parseJson, readList } from "../../common/decode.js";
+import { readRanges } from "../../sharding/shard-heartbeat.js";
+import { asRecord, parseJson, readList, type UnknownRecord } from "../../common/decode.js";
 import type { Settings } from "../../common/settings.js";
 import type { Message } from "../../transport/connection.js";
 import type { ApiRequest, ApiResponse, ApiRoute } from "../http-api.js";
 import { pathArgument, badRequest } from "./admin-api.js";
 import { HeartbeatReplicator } from "./heartbeat-replicator.js";
 import type { MessageHandlers } from "./message-dispatcher.js";
+import type { Sharding } from "./sharding.js";
 import { isPositiveReply, packDecision, PEER_REQUEST } from "./peer-messages.js";
 
 /** Dependencies of {@link openWorkers}. */
@@ -28,6 +30,7 @@
   readonly store: ReplicatedStore;
   readonly peers: Peers;
   readonly isWithoutQuorum: () => boolean;
+  readonly sharding: Sharding;
 }
 
 /** The heartbeat handling with its message handlers and routes. */
@@ -52,24 +55,31 @@
   ) {}
 
   readonly heartbeat = async (request: ApiRequest): Promise<ApiResponse> => {
-    const { registry, isWithoutQuorum } = this.options;
+    const { registry, isWithoutQuorum, sharding } = this.options;
     let heartbeat: Heartbeat;
+    let body: UnknownRecord;
     try {
-      heartbeat = readHeartbeat(pathArgument(request), parseJson(request.body));
+      body = asRecord(parseJson(request.body), "heartbeat");
+      heartbeat = readHeartbeat(pathArgument(request), body);
+      readRanges(body);
     } catch (error) {
       return badRequest(error instanceof Error ? error.message : "unreadable");
     }
     if (isWithoutQuorum()) return { outcome: "adrift" };
     registry.record(heartbeat);
     const merged = registry.get(heartbeat.id) ?? heartbeat;
-    const [isReplicated, reportTo] = await Promise.all([
+    const [isReplicated, grants, reportTo] = await Promise.all([
       heartbeat.state === "ready"
         ? this.replicator.replicateSoon(merged)
         : this.replicator.replicateToQuorum(merged),
+      sharding.answerHeartbeat(heartbeat, body),
       this.findZoneController(heartbeat.zone),
     ]);
     if (!isReplicated) return { outcome: "noQuorum" };
-    return { outcome: "taken", body: reportTo === undefined ? {} : { reportTo } };
+    return {
+      outcome: "taken",
+      body: { ...grants, ...(reportTo === undefined ? {} : { reportTo }) },
+    };
   };
 
   readonly leave = async (request: ApiRequest): Promise<ApiResponse> => {
--- a/src/programs/ctl/commands/queries.ts
+++ b/src/programs/ctl/commands/queries.ts
@@ -18,6 +18,7 @@
 const QUERIES: Readonly<Record<string, string>> = {
   customers: "list the customers, with the number of their API keys",
   nodes: "list the gateways with a session",
+  shards: "list the keys of sharded services with their owners",
   workers: "list the workers by their last heartbeats",
   inspection: "show faults by worker, ejections and the zonal shift, with their reasons",
   keys: "show idempotency keys and purges held, and whether this replica counts",
--- a/src/programs/gateway/data-plane.ts
+++ b/src/programs/gateway/data-plane.ts
@@ -13,6 +13,7 @@
 import type { RetryBudgets } from "../../proxy/retry-budget.js";
 import { CustomerDirectory } from "../../proxy/customer-directory.js";
 import { RouteTable } from "../../proxy/route-table.js";
+import { ShardDirectory } from "../../proxy/shard-directory.js";
 import { WorkerDirectory } from "../../proxy/worker-directory.js";
 import { loggerFor } from "../../common/logger.js";
 import { CONFIG_PREFIX, CUSTOMER_PREFIX, type Update } from "../../membership/update-store.js";
@@ -25,6 +26,7 @@
 export interface DataPlane {
   readonly routes: RouteTable;
   readonly customers: CustomerDirectory;
+  readonly shards: ShardDirectory;
   /** Whether the first configuration has been received as a whole. */
   readonly isComplete: () => boolean;
   readonly workers: WorkerDirectory;
@@ -68,6 +70,13 @@
   });
 };
 
+/** Lets the server act on changed limits, health decisions and workers. */
+const notifyServer = (server: ProxyServer, isZoneDrained: boolean): void => {
+  server.applyLimits();
+  server.setZoneDrained(isZoneDrained);
+  server.wake();
+};
+
 /** Opens the data plane's state, which is empty until updates arrive. */
 export const openDataPlane = (
   settings: Settings,
@@ -76,6 +85,7 @@
 ): DataPlane => {
   const routes = new RouteTable();
   const customers = new CustomerDirectory();
+  const shards = new ShardDirectory();
   const initialLoad = new InitialLoad(subscriber, () => routes.isLoaded);
   const workers = new WorkerDirectory(clock, settings.name, settings.zone);
   const incarnation = `${process.pid}-${clock.nowUs()}-${Math.random()}`;
@@ -87,12 +97,11 @@
     updates.events.on("changed", (changed) => {
       const beganUs = clock.nowUs();
       customers.applyUpdates(changed);
+      shards.applyUpdates(changed);
       routes.applyUpdates(changed);
       workers.applyUpdates(changed);
       canary.retain(routes.isCurrent);
-      server.applyLimits();
-      server.setZoneDrained(workers.isDrained(settings.zone));
-      server.wake();
+      notifyServer(server, workers.isDrained(settings.zone));
       logApplied(changed, clock.nowUs() - beganUs, { subscriber, publisher });
     });
     updates.events.on("forgotten", (keys) => {
@@ -111,6 +120,7 @@
   return {
     routes,
     customers,
+    shards,
     isComplete: initialLoad.isComplete,
     workers,
     faults,
--- a/src/programs/gateway/gateway.ts
+++ b/src/programs/gateway/gateway.ts
@@ -51,6 +51,7 @@
     bufferMemoryBytes: ((settings.memoryMb || DEFAULT_MEMORY_MB) * MB) / BUFFER_MEMORY_DIVISOR,
     routes: dataPlane.routes,
     customers: dataPlane.customers,
+    shards: dataPlane.shards,
     workers: dataPlane.workers,
     retryBudgets: dataPlane.retryBudgets,
     isBehind,
--- a/src/proxy/forwarding.ts
+++ b/src/proxy/forwarding.ts
@@ -19,6 +19,7 @@
 import type { MemoryBudget } from "./memory-budget.js";
 import type { RequestContext } from "./request-context.js";
 import type { Route } from "./route-table.js";
+import type { ShardDirectory } from "./shard-directory.js";
 import {
   UpstreamRequest,
   type CancellableRequest,
@@ -43,6 +44,7 @@
   /** The zone of this node. */
   readonly zone: string;
   readonly workers: WorkerDirectory;
+  readonly shards: ShardDirectory;
   readonly loadBalancer: LoadBalancer;
   readonly memory: MemoryBudget;
   readonly keyed: KeyedRequests;
@@ -70,12 +72,14 @@
    * capacity.
    */
   readonly choose = (context: RequestContext): Worker | undefined =>
-    this.options.loadBalancer.choose(
-      context.service,
-      context.triedWorkers,
-      context.route?.latencyTargetUs ?? 0,
-      context.route?.isSafe ?? true,
-    );
+    context.shardKey === undefined
+      ? this.options.loadBalancer.choose(
+          context.service,
+          context.triedWorkers,
+          context.route?.latencyTargetUs ?? 0,
+          context.route?.isSafe ?? true,
+        )
+      : this.chooseOwner(context, context.shardKey);
 
   /** Waits for a worker for as long as the latency target allows. */
   readonly waitForWorker = (context: RequestContext, route: Route): Promise<Worker | undefined> => {
@@ -117,6 +121,7 @@
         headers: this.headersFor(context, worker),
         body: context.body,
         attemptId: context.attemptId,
+        isSharded: context.shardKey !== undefined,
         reserveMemory: (bytes: number) => memory.reserve(context, bytes),
         maySend: () => this.maySend(context, route),
       },
@@ -135,6 +140,16 @@
     return request;
   };
 
+  /** Returns the worker that owns the request's shard key, if it has capacity. */
+  private readonly chooseOwner = (
+    { service, triedWorkers }: RequestContext,
+    shardKey: number,
+  ): Worker | undefined => {
+    const { shards, workers, loadBalancer } = this.options;
+    const owner = workers.get(shards.ownerOf(service, shardKey) ?? "");
+    return owner && loadBalancer.canServe(owner, triedWorkers) ? owner : undefined;
+  };
+
   private readonly headersFor = (context: RequestContext, worker: Worker): string[] => {
     const headers = forwardedHeaders(context.req.rawHeaders, NOT_FORWARDED);
     const leftUs = context.deadlineUs - this.options.clock.nowUs();
--- a/src/proxy/headers.ts
+++ b/src/proxy/headers.ts
@@ -17,6 +17,10 @@
 export const LABELS_HEADER = "yewreel-labels";
 /** The idempotency key of an operation. */
 export const IDEMPOTENCY_KEY_HEADER = "yewreel-operation-key";
+/** The key by which a sharded service divides its work, from 0 to 65535. */
+export const SHARD_KEY_HEADER = "yewreel-shard-key";
+/** The id of the worker that responds. */
+export const WORKER_ID_HEADER = "yewreel-worker-id";
 /** The client's API key; never forwarded. */
 export const API_KEY_HEADER = "yewreel-credential";
 /** The name of the customer that holds the client's API key, for the worker. */
--- a/src/proxy/load-balancer.ts
+++ b/src/proxy/load-balancer.ts
@@ -103,6 +103,14 @@
     );
   };
 
+  /** Whether a request may be sent to this worker, the only one that may run it, now. */
+  readonly canServe = (worker: Worker, tried: ReadonlySet<string>): boolean =>
+    !tried.has(worker.id) &&
+    worker.state === "ready" &&
+    worker.connections.hasCapacity(this.options.connectionShare(worker.service)) &&
+    !worker.isAvoided() &&
+    this.loadOf(worker) < worker.capacity * MAX_LOAD_PER_SLOT;
+
   /**
    * Returns the load of a worker, including an estimate for other nodes. Other nodes are assumed to
    * use a local worker as much as this node does. A remote worker, which is mainly used by nodes of
--- a/src/proxy/pipeline.ts
+++ b/src/proxy/pipeline.ts
@@ -21,6 +21,7 @@
 import type { RetryBudgets } from "./retry-budget.js";
 import { RetryingForwarder } from "./retry-and-hedging.js";
 import type { Route, RouteTable } from "./route-table.js";
+import type { ShardDirectory } from "./shard-directory.js";
 import { StallDetector } from "./stall-detector.js";
 
 /** Maximum number of bodies read at once, and of requests that wait for it. */
@@ -44,6 +45,7 @@
   readonly bufferMemoryBytes: number;
   readonly routes: RouteTable;
   readonly customers: CustomerDirectory;
+  readonly shards: ShardDirectory;
   readonly workers: WorkerDirectory;
   readonly retryBudgets: RetryBudgets;
   /**
@@ -170,6 +172,7 @@
       clock,
       zone,
       workers,
+      shards,
       random,
       connectionShare,
       countFault,
@@ -181,6 +184,7 @@
       clock,
       zone,
       workers,
+      shards,
       loadBalancer: new LoadBalancer({
         workers,
         zone,
--- a/src/proxy/proxy-server.ts
+++ b/src/proxy/proxy-server.ts
@@ -146,6 +146,7 @@
       deadlineUs: arrivedUs + (hasTimeLeft ? leftMs * MILLISECOND_US : DEFAULT_TIME_LEFT_US),
       route: undefined,
       customer: undefined,
+      shardKey: undefined,
       service: "",
       body: null,
       triedWorkers: new Set(),
--- a/src/proxy/request-context.ts
+++ b/src/proxy/request-context.ts
@@ -36,6 +36,8 @@
   /** The customer that holds the request's API key, if any. */
   customer: Customer | undefined;
   service: string;
+  /** The key by which a sharded service divides its work; undefined for other services. */
+  shardKey: number | undefined;
   body: Buffer | Readable | null;
   /**
    * The workers to which the request was sent or that were unreachable. Invariant: no worker is
--- a/src/proxy/request-routing.ts
+++ b/src/proxy/request-routing.ts
@@ -5,9 +5,10 @@
 import type { OutcomeName } from "../common/http-outcomes.js";
 import { toRouteKind } from "../quota/retry-limits.js";
 import type { CustomerDirectory } from "./customer-directory.js";
-import { API_KEY_HEADER } from "./headers.js";
+import { API_KEY_HEADER, SHARD_KEY_HEADER } from "./headers.js";
 import type { RequestContext } from "./request-context.js";
 import type { RetryBudgets } from "./retry-budget.js";
+import { parseShardKey } from "./shard-directory.js";
 import type { Route, RouteTable } from "./route-table.js";
 
 /** Dependencies of {@link RequestRouter}. */
@@ -81,6 +82,13 @@
       reject(context, "noTryId");
       return;
     }
+    if (routes.service(context.service)?.isSharded) {
+      context.shardKey = parseShardKey(req.headers[SHARD_KEY_HEADER]);
+      if (context.shardKey === undefined) {
+        reject(context, "noShardKey");
+        return;
+      }
+    }
     retryBudgets.budgetFor(context.service, toRouteKind(route.kind)).recordRequest();
     this.options.countArrival?.(context.service);
     this.options.forward(context);
--- a/src/proxy/route-table.ts
+++ b/src/proxy/route-table.ts
@@ -35,6 +35,8 @@
   readonly name: string;
   readonly healthCheckPath: string;
   readonly maxConnections: number;
+  /** Whether a request may only be sent to the worker that owns its shard key. */
+  readonly isSharded: boolean;
   /** The fleet-wide rate limit, in requests per second; 0 if there is none. */
   readonly maxRequestsPerS: number;
 }
@@ -187,6 +189,7 @@
       name,
       healthCheckPath: readString(record, "statusPath"),
       maxConnections,
+      isSharded: record["sharded"] === true,
       maxRequestsPerS: typeof record["ratePerS"] === "number" ? record["ratePerS"] : 0,
     });
   };
--- a/src/proxy/upstream-request.ts
+++ b/src/proxy/upstream-request.ts
@@ -2,7 +2,13 @@
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { Worker } from "./worker.js";
-import { headerValue, WORKER_LOAD_HEADER, type FlatHeaders } from "./headers.js";
+import {
+  headerValue,
+  NOT_RUN_HEADER,
+  WORKER_ID_HEADER,
+  WORKER_LOAD_HEADER,
+  type FlatHeaders,
+} from "./headers.js";
 import {
   isRejection,
   readWorkerLoad,
@@ -25,6 +31,8 @@
    * result has the reason `withheld`.
    */
   readonly maySend: () => boolean;
+  /** Whether the worker may reject the request because it does not hold its shard key. */
+  readonly isSharded?: boolean;
 }
 
 /** A validated response of the worker. */
@@ -55,7 +63,7 @@
 export type UpstreamResult =
   | { readonly kind: "answered"; readonly response: UpstreamResponse }
   /** The worker reported, in a response to this attempt, that it did not run the request. */
-  | { readonly kind: "rejected"; readonly reason: "overloaded" | "wrong-worker" }
+  | { readonly kind: "rejected"; readonly reason: "overloaded" | "wrong-worker" | "not-owner" }
   /**
    * No byte of the request was sent: the worker refused the connection or was unreachable, the
    * request was withheld, or it is not valid HTTP.
@@ -219,7 +227,10 @@
     if (this.isFinished) return;
     const isReusable =
       isShared && headerValue(this.headers, "connection")?.toLowerCase() !== "close";
-    if (this.status === 421) this.finish(true, false, { kind: "rejected", reason: "wrong-worker" });
+    if (this.status === 421 && this.isFromExpectedWorker())
+      this.finish(true, isReusable, { kind: "rejected", reason: "not-owner" });
+    else if (this.status === 421)
+      this.finish(true, false, { kind: "rejected", reason: "wrong-worker" });
     else if (isRejection(this.status, this.headers))
       this.finish(true, isReusable, { kind: "rejected", reason: "overloaded" });
     else {
@@ -249,6 +260,15 @@
     else this.finish(false, false, { kind: "not-sent", reason: reasonNotSent(error) });
   };
 
+  /**
+   * Whether a 421 says that the expected worker does not hold the request's shard key, rather than
+   * that another worker has its address.
+   */
+  private readonly isFromExpectedWorker = (): boolean =>
+    this.request.isSharded === true &&
+    headerValue(this.headers, NOT_RUN_HEADER) !== undefined &&
+    (headerValue(this.headers, WORKER_ID_HEADER) ?? this.worker.id) === this.worker.id;
+
   private readonly bufferedBody = (): Buffer =>
     this.chunks.length === 1 ? (this.chunks[0] ?? EMPTY) : Buffer.concat(this.chunks);
 
--- a/src/proxy/worker-directory.ts
+++ b/src/proxy/worker-directory.ts
@@ -66,6 +66,8 @@
     return this.workers.size;
   }
 
+  readonly get = (id: string): Worker | undefined => this.workers.get(id);
+
   /** Returns the workers of a service, including draining ones. */
   readonly workersOf = (service: string): readonly Worker[] => this.byService.get(service) ?? [];
 
