--- a/features/simulator.feature
+++ b/features/simulator.feature
@@ -31,6 +31,7 @@
       | only the first item of a change is proposed            | kill    | complete       |
       | the items that were proposed together are forgotten    | freeze  | atomic         |
       | a change is accepted without checking its requirements | kill    | rejected       |
+      | changes of customers are not decided one after another | kill    | unshared-keys  |
       | terms are not checked                                  | freeze  | leader-terms   |
       | quorum contact is confirmed without a check            | freeze  | quorum-contact |
       | the voter set only grows                               | replace | voter-set      |
--- a/features/steps/simulator.ts
+++ b/features/steps/simulator.ts
@@ -14,6 +14,8 @@
 let violations: readonly Violation[] = [];
 let failing: { readonly schedule: Schedule; readonly violation: Violation } | undefined;
 
+/** Attempts to remove events; enough for schedules that also have changes of customers. */
+const MAX_SHRINK_RUNS = 24;
 const MAX_SEEDS = 150;
 
 const runAll = async (schedules: readonly Schedule[]): Promise<void> => {
@@ -152,7 +154,7 @@
     failing.schedule,
     failing.violation,
     components,
-    12,
+    MAX_SHRINK_RUNS,
   );
   assert.equal(violation.invariant, failing.violation.invariant);
   assert.ok(
--- a/features/support/defective-controllers.ts
+++ b/features/support/defective-controllers.ts
@@ -101,6 +101,10 @@
   "a change is accepted without checking its requirements": storeWith((real) => ({
     propose: (registers) => real.propose(registers),
   })),
+  "changes of customers are not decided one after another": storeWith((real) => ({
+    propose: (registers, { findProblem } = {}) =>
+      real.propose(registers, findProblem ? { findProblem } : {}),
+  })),
   "terms are not checked": storeWith(() => ({ isSuperseded: () => false })),
   "quorum contact is confirmed without a check": storeWith(() => ({
     confirmQuorum: async () => true,
--- a/scalability/loopback.ts
+++ b/scalability/loopback.ts
@@ -61,6 +61,7 @@
   staleSlackUs: 2 * SECOND_US,
   ceilingWindowUs: 5 * SECOND_US,
   ceilingExcess: 1.1,
+  holdMaxUs: 10_000_000,
   metrics: new Map(),
   forecastActs: false,
   rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
--- a/simulator/change-generator.ts
+++ b/simulator/change-generator.ts
@@ -112,6 +112,48 @@
   };
 }
 
+const CUSTOMERS = ["x", "y", "z"];
+const API_KEYS = ["k1", "k2"];
+/** Ids of changes of customers start here. */
+const FIRST_CUSTOMER_CHANGE = 100_000;
+
+/**
+ * Generates changes of customers who want the same few API keys, many of them at once: each alone
+ * is valid, but not together with those decided before.
+ */
+export const generateCustomerChanges = (
+  random: SeededRandom,
+  deployment: Deployment,
+  untilUs: number,
+): Event[] => {
+  const events: Event[] = [];
+  const versions = new Map<string, number>();
+  const drawItem = (name: string): Item => {
+    const version = (versions.get(name) ?? 0) + 1;
+    versions.set(name, version);
+    const apiKeys = API_KEYS.filter(() => random.occurs(0.5));
+    const body = JSON.stringify({ name, apiKeys, change: events.length });
+    return { key: `customer/${name}`, version, body: random.occurs(0.1) ? "" : body };
+  };
+  for (
+    let atUs = SECOND_US;
+    atUs < untilUs;
+    atUs += random.integer(300 * MILLISECOND_US, 3 * SECOND_US)
+  )
+    CUSTOMERS.filter(() => random.occurs(0.7)).forEach((name) =>
+      events.push({
+        atUs: atUs + random.integer(0, 40 * MILLISECOND_US),
+        kind: "change",
+        id: FIRST_CUSTOMER_CHANGE + events.length,
+        slot: random.integer(0, deployment.controllers - 1),
+        items: [drawItem(name)],
+        requires: "",
+        answerLossProbability: random.occurs(0.2) ? 0.5 : 0,
+      }),
+    );
+  return events;
+};
+
 /**
  * Generates single changes and bursts, some of which conflict with a concurrent change of the same
  * version or are resent up to 12 s later.
--- a/simulator/configuration-invariants.ts
+++ b/simulator/configuration-invariants.ts
@@ -2,6 +2,8 @@
  * Invariants of configuration changes and reads: each item behaves as a register whose version
  * never decreases.
  */
+import { isCustomerKey } from "../src/config/config-keys.js";
+import { findSharedKey } from "../src/config/customer-keys.js";
 import type { Register } from "../src/consensus/register.js";
 import type { Attempt } from "./history.js";
 import {
@@ -199,3 +201,17 @@
   }
   return undefined;
 };
+
+/** No read shows two customers that share an API key. */
+export const unsharedKeys: Invariant = ({ history }) => {
+  for (const { controller, endUs, registers } of history.reads) {
+    const shared = findSharedKey(
+      registers.filter(({ key }) => isCustomerKey(key)),
+      () => undefined,
+      () => [],
+    );
+    if (shared)
+      return `the customers ${shared.join(" and ")} share an API key in a read at ${controller} at ${seconds(endUs)}`;
+  }
+  return undefined;
+};
--- a/simulator/invariants.ts
+++ b/simulator/invariants.ts
@@ -5,6 +5,7 @@
   linearizable,
   rejected,
   singleValue,
+  unsharedKeys,
 } from "./configuration-invariants.js";
 import { availability, leaderTerms, quorumContact, voterSets } from "./control-plane-invariants.js";
 import type { Invariant } from "./observations.js";
@@ -23,6 +24,7 @@
   | "complete"
   | "atomic"
   | "linearizable"
+  | "unshared-keys"
   | "leader-terms"
   | "quorum-contact"
   | "availability"
@@ -39,6 +41,7 @@
   complete,
   atomic,
   linearizable,
+  "unshared-keys": unsharedKeys,
   "leader-terms": leaderTerms,
   "quorum-contact": quorumContact,
   availability,
@@ -53,6 +56,7 @@
   "complete",
   "atomic",
   "linearizable",
+  "unshared-keys",
   "leader-terms",
   "quorum-contact",
   "availability",
--- a/simulator/observations.ts
+++ b/simulator/observations.ts
@@ -1,4 +1,5 @@
 /** Helpers shared by the invariants: queries on the outcome of a run, and formatting. */
+import { CUSTOMERS_SERIALIZATION_KEY } from "../src/config/config-keys.js";
 import type { Register } from "../src/consensus/register.js";
 import type { Attempt } from "./history.js";
 import type { Schedule } from "./schedule.js";
@@ -9,7 +10,8 @@
 
 export const seconds = (us: number): string => `${(us / 1_000_000).toFixed(3)} s`;
 export const nameOf = ({ key, version }: Register): string => `${key} ${version}`;
-export const isConfiguration = ({ key }: Register): boolean => !key.startsWith("duty/");
+export const isConfiguration = ({ key }: Register): boolean =>
+  !key.startsWith("duty/") && key !== CUSTOMERS_SERIALIZATION_KEY;
 export const isConfirmed = ({ result }: Attempt): boolean => result === "ok";
 
 /** All registers that were read or published during the run, with place and time. */
--- a/simulator/schedule-generator.ts
+++ b/simulator/schedule-generator.ts
@@ -1,6 +1,6 @@
 /** Generates a schedule deterministically from a seed, a deployment and options. */
 import { SECOND_US } from "../src/common/duration.js";
-import { generateChanges } from "./change-generator.js";
+import { generateChanges, generateCustomerChanges } from "./change-generator.js";
 import { FaultGenerator } from "./fault-generator.js";
 import { deploymentOf, type Schedule, type ScheduleOptions } from "./schedule.js";
 import { SeededRandom } from "./seeded-random.js";
@@ -25,14 +25,16 @@
     changes,
   ).generate();
   const paddingBytes = random.occurs(0.15) ? PADDING_BYTES : 0;
+  const customerChanges = generateCustomerChanges(random.fork(), deployment, CHANGES_END_US);
   return {
     seed,
     deployment: deploymentName,
     exceedsTolerance: options.exceedsTolerance,
     paddingBytes,
     faultsEndUs,
-    events: [...events, ...changes.filter(({ atUs }) => atUs < faultsEndUs)].sort(
-      (one, other) => one.atUs - other.atUs,
-    ),
+    events: [
+      ...events,
+      ...[...changes, ...customerChanges].filter(({ atUs }) => atUs < faultsEndUs),
+    ].sort((one, other) => one.atUs - other.atUs),
   };
 };
--- a/simulator/simulated-controller.ts
+++ b/simulator/simulated-controller.ts
@@ -7,6 +7,8 @@
 import { LeaderLease, type LeaderLeaseOptions } from "../src/consensus/leader-lease.js";
 import { CONSENSUS_MESSAGE_KINDS } from "../src/consensus/messages.js";
 import { ReplicatedStore, type ReplicatedStoreOptions } from "../src/consensus/replicated-store.js";
+import { CUSTOMERS_SERIALIZATION_KEY } from "../src/config/config-keys.js";
+import { findSharedKey, putsCustomers } from "../src/config/customer-keys.js";
 import type { Register } from "../src/consensus/register.js";
 import type { WriteCheck } from "../src/consensus/register-writer.js";
 import type { Clock } from "../src/common/clock.js";
@@ -227,11 +229,14 @@
     const { history, time } = this.options;
     const attempt = history.beginAttempt(change.id, this.id, time.nowUs());
     const { requires } = change;
-    const findProblem: WriteCheck = ({ get }) =>
-      requires === "" || get(requires)?.dropped === false
-        ? undefined
-        : `${requires} does not exist`;
-    const proposed = await this.store.propose(change.registers, { findProblem });
+    const findProblem: WriteCheck = ({ get, all }) => {
+      if (requires !== "" && get(requires)?.dropped !== false) return `${requires} does not exist`;
+      return findSharedKey(change.registers, get, all) && "two customers would share an API key";
+    };
+    const proposed = await this.store.propose(change.registers, {
+      findProblem,
+      ...(putsCustomers(change.registers) ? { serializationKey: CUSTOMERS_SERIALIZATION_KEY } : {}),
+    });
     attempt.endUs = time.nowUs();
     if (proposed.isOk) {
       attempt.result = "ok";
