What a configuration item asks for and nothing would do is refused

A service with another protocol than h1, or encrypted, and a rate limit of a customer were acknowledged and had no effect; so had a number or boolean given as text (tries "2", sharded "yes"), since the schema converted it and the item was stored as it came. All get 400 with the name of the field. Found by the new scenario for sharded "yes", which failed before.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -58,6 +58,18 @@
       | an empty key           | apiKeys |
       | a rank below 0         | rank    |
       | a version that is text | version |
+      | a rate limit           | ratePerS |
+
+  Scenario Outline: What a service asks for and nothing would do is refused
+    When a service with <field> <value> is put
+    Then the change is refused with 400 and names "<field>"
+
+    Examples:
+      | field     | value |
+      | protocol  | "h2"  |
+      | encrypted | true  |
+      | sharded        | "yes" |
+      | maxConnections | "60"  |
 
   Scenario: A public route needs no key, and still neither forwards one nor lets a client name its customer
     When a request to the public route without a key claims to be of customer "alpha"
--- a/features/steps/customers.ts
+++ b/features/steps/customers.ts
@@ -155,6 +155,7 @@
   "a key with a space": { name: "gamma", apiKeys: ["key-g", "key- h"], version: 1 },
   "an empty key": { name: "gamma", apiKeys: ["key-g", ""], version: 1 },
   "a rank below 0": { ...customerOf("gamma", ["key-g"]), rank: -1 },
+  "a rate limit": { ...customerOf("gamma", ["key-g"]), ratePerS: 5 },
   "a version that is text": { ...customerOf("gamma", ["key-g"]), version: "2" },
 };
 When(/^a customer with (.*) is put$/, async (defect: string) => {
@@ -286,3 +287,9 @@
 Then("the key belongs to {string}", (name: string) =>
   directories.forEach((directory) => assert.equal(directory.find("key-a")?.name, name)),
 );
+
+When(/^a service with (\w+) (.*) is put$/, async (field: string, value: string) => {
+  const service = { name: "s-2", statusPath: "/health", maxConnections: 60, version: 1 };
+  const groups = [{ ...service, [field]: parseJson(value) }];
+  reply = await running().change({ putItems: { groups } });
+});
--- a/src/config/item-schema.ts
+++ b/src/config/item-schema.ts
@@ -106,6 +106,8 @@
   dropsRepeats: { format: Boolean, default: false },
   sharded: { format: Boolean, default: false },
   grants: { format: String, default: "" },
+  protocol: { format: ["h1"], default: "h1" },
+  encrypted: { format: [false], default: false },
 });
 
 const customerSchema = convict({
@@ -144,6 +146,8 @@
   dropsRepeats: false,
   sharded: false,
   grants: "",
+  protocol: "h1",
+  encrypted: false,
 };
 const LIMITS_DEFAULTS: UnknownRecord = {
   version: -1,
@@ -153,11 +157,25 @@
   idle: "",
 };
 
+/**
+ * The schemas convert texts to numbers and booleans, but an item is stored as it came, and a text
+ * would then have no effect.
+ */
+const requireDefaultTypes = (defaults: UnknownRecord, value: UnknownRecord): void =>
+  Object.entries(defaults)
+    .filter(([, preset]) => typeof preset === "number" || typeof preset === "boolean")
+    .forEach(([field, preset]) => {
+      const given = value[field];
+      if (given !== undefined && typeof given !== typeof preset)
+        throw new Error(`${field}: must be a ${typeof preset}`);
+    });
+
 const validate = (
   schema: { load: (conf: UnknownRecord) => unknown; validate: () => unknown },
   defaults: UnknownRecord,
   value: UnknownRecord,
 ): void => {
+  requireDefaultTypes(defaults, value);
   schema.load({ ...defaults, ...value });
   schema.validate();
 };
@@ -196,6 +214,8 @@
  */
 export const validateCustomer = (customer: UnknownRecord): void => {
   validate(customerSchema, CUSTOMER_DEFAULTS, pickFields(customer, ["name", "version", "rank"]));
+  if (customer["ratePerS"] !== undefined)
+    throw new Error("ratePerS: rate limits of customers are not supported");
   const keys = asList(customer["apiKeys"], "apiKeys");
   if (!keys.every(isApiKey))
     throw new Error(
--- a/src/config/validation.ts
+++ b/src/config/validation.ts
@@ -61,6 +61,8 @@
       "dropsRepeats",
       "sharded",
       "grants",
+      "protocol",
+      "encrypted",
     ]),
   );
   return makeRegister(
