An empty worker gets keys although no other worker has more than one and a half shares

A worker took over keys only from one with 1.5 times its share, so that workers added by a quarter would have stayed empty (found by reading). It takes half a range of the worker with the most keys now; a scenario adds a fourth worker to three with equal shares.

--- a/features/sharding.feature
+++ b/features/sharding.feature
@@ -30,6 +30,13 @@
     Then every key is held by exactly one worker
     And worker "w-4" holds keys
 
+  Scenario: An empty worker that is added gets keys although no other worker has more than its share
+    Given a system with a sharded service and 3 workers that hold no keys
+    And the workers send heartbeats for 8 seconds
+    When worker "w-4" joins and the workers send heartbeats for 4 seconds
+    Then every key is held by exactly one worker
+    And worker "w-4" holds keys
+
   Scenario: A service whose keys can't be granted by heartbeats, and invalid ranges, are refused
     Given a system with a sharded service and 1 workers that hold no keys
     Then a sharded service that wants grants by calls is refused with a reason
--- a/src/sharding/shard-planner.ts
+++ b/src/sharding/shard-planner.ts
@@ -23,8 +23,6 @@
 
 /** At most this part of the workers takes over ranges from loaded ones at a time. */
 const MAX_MOVING_SHARE = 0.1;
-/** A range of an owner moves to a worker without keys if the owner has this many times its share. */
-const OVERLOAD_FACTOR = 1.5;
 
 /** The first table: ranges in proportion to the capacities, in the order of the workers. */
 export const planInitialTable = (workers: readonly ShardWorker[]): ShardTable => {
@@ -117,15 +115,10 @@
   ];
 };
 
-/** The largest settled row of a worker with clearly more keys than its share. */
+/** A settled row of the worker with the most keys, if that is more than its share. */
 const findOverloadedRow = (table: ShardTable, owned: OwnedKeys, meanLoad: number) =>
   table
-    .filter(
-      (row) =>
-        !row.isReleasing &&
-        sizeOf(row) > 1 &&
-        owned.loadOf(row.worker) > meanLoad * OVERLOAD_FACTOR,
-    )
+    .filter((row) => !row.isReleasing && sizeOf(row) > 1 && owned.loadOf(row.worker) > meanLoad)
     .reduce<ShardRow | undefined>(
       (largest, row) =>
         !largest || owned.loadOf(row.worker) > owned.loadOf(largest.worker) ? row : largest,
