--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -9,6 +9,7 @@
 import { asRecord, asList, parseJson, type UnknownRecord } from "../../src/common/decode.js";
 import { ManualClock, settle } from "../support/manual-clock.js";
 import { StubWorker } from "../support/stub-worker.js";
+import { testSettings } from "../support/test-settings.js";
 
 let clock = new ManualClock();
 let basePort = 0;
@@ -21,50 +22,17 @@
 let lastRequestNumber = 0;
 let heartbeatResponse: UnknownRecord = {};
 
-const DURATIONS = {
-  heartbeatUs: 1_500_000,
-  drainUs: 2_000_000,
-  graceUs: 1_000_000,
-  applyUs: 2_000_000,
-  contactUs: 3_000_000,
-  confirmUs: 4_000_000,
-  retryWindowUs: 10_000_000,
-};
-
-const settingsOf = (name: string, ip: string, zone: string, port: number): Settings => ({
-  ...DURATIONS,
-  name,
-  zone,
-  ip,
-  peerPort: basePort,
-  relayPort: basePort + 1,
-  seedNodes: [1, 2, 3].map((controller) => `127.1.0.${controller}:${basePort + 2}`),
-  firstRun: true,
-  dataFolder: "",
-  logLevel: "silent",
-  front: `${ip}:${port}`,
-  ready: `${ip}:${port + 1}`,
-  control: `${ip}:${basePort + 2}`,
-  memoryMb: 300,
-  fileHandles: 1_000,
-  withstandMachines: 1,
-  retryRatio: 0.2,
-  retrySlack: 50,
-  deployment: "",
-  diskMb: 64,
-  linkMbps: 0,
-  regions: new Map(),
-  stretchUs: 5_000_000,
-  keyWindowUs: 60_000_000,
-  purgeUs: 2_000_000,
-  staleSlackUs: 2_000_000,
-  ceilingWindowUs: 5_000_000,
-  ceilingExcess: 1.1,
-  holdMaxUs: 10_000_000,
-  metrics: new Map(),
-  forecastActs: false,
-  rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
-});
+const settingsOf = (name: string, ip: string, zone: string, port: number): Settings =>
+  testSettings({
+    name,
+    ip,
+    zone,
+    peerPort: basePort,
+    controlPort: basePort + 2,
+    frontPort: port,
+    controllerIps: [1, 2, 3].map((controller) => `127.1.0.${controller}`),
+    withstandMachines: 1,
+  });
 
 const call = (
   address: string,
--- a/features/support/small-system.ts
+++ b/features/support/small-system.ts
@@ -8,12 +8,12 @@
 import type { RunningProgram } from "../../src/programs/running-program.js";
 import { ManualClock, settle } from "./manual-clock.js";
 import { StubWorker } from "./stub-worker.js";
+import { testSettings } from "./test-settings.js";
 
 const CONTROLLER_IP = "127.15.0.1";
 const GATEWAY_IP = "127.15.0.2";
 const STEP_US = 5_000;
 const MAX_STEPS = 4_000;
-const HEARTBEAT_US = 1_500_000;
 /** Time in which a committed change has reached the gateway. */
 const DISTRIBUTION_US = 500_000;
 
@@ -139,44 +139,15 @@
     return finished;
   };
 
-  private readonly settingsOf = (ip: string): Settings => ({
-    name: ip,
-    zone: "c1",
-    ip,
-    peerPort: this.basePort,
-    relayPort: this.basePort + 1,
-    seedNodes: [`${CONTROLLER_IP}:${this.basePort + 2}`],
-    firstRun: true,
-    heartbeatUs: HEARTBEAT_US,
-    dataFolder: "",
-    logLevel: "silent",
-    front: `${ip}:${this.basePort + 4}`,
-    ready: `${ip}:${this.basePort + 5}`,
-    control: `${ip}:${this.basePort + 2}`,
-    memoryMb: 300,
-    fileHandles: 1_000,
-    withstandMachines: 0,
-    drainUs: 2_000_000,
-    graceUs: 1_000_000,
-    applyUs: 2_000_000,
-    contactUs: 3_000_000,
-    confirmUs: 4_000_000,
-    retryRatio: 0.2,
-    retryWindowUs: 10_000_000,
-    retrySlack: 50,
-    deployment: "",
-    diskMb: 64,
-    linkMbps: 0,
-    regions: new Map(),
-    stretchUs: 5_000_000,
-    keyWindowUs: 60_000_000,
-    purgeUs: 2_000_000,
-    staleSlackUs: 2_000_000,
-    ceilingWindowUs: 5_000_000,
-    ceilingExcess: 1.1,
-    holdMaxUs: 10_000_000,
-    metrics: new Map(),
-    forecastActs: false,
-    rolloutWeights: { late: 0.3, lostSafe: 1, lostUnsafe: 2, doubled: 5 },
-  });
+  private readonly settingsOf = (ip: string): Settings =>
+    testSettings({
+      name: ip,
+      ip,
+      zone: "c1",
+      peerPort: this.basePort,
+      controlPort: this.basePort + 2,
+      frontPort: this.basePort + 4,
+      controllerIps: [CONTROLLER_IP],
+      withstandMachines: 0,
+    });
 }
