Sharded services are learnt from committed items, not looked up at each heartbeat

Each heartbeat of any service parsed the service's item, and the leader walked all workers four times a second, on deployments without sharded services too. The set of sharded services now follows the committed items; the plan compares with the stored table instead of encoding it again.

--- a/src/config/config-keys.ts
+++ b/src/config/config-keys.ts
@@ -31,6 +31,9 @@
 /** Whether the key belongs to a route. */
 export const isRouteKey = (key: string): boolean => key.startsWith(ROUTE_PREFIX);
 
+/** Returns the name of a service by its register key. */
+export const serviceNameOf = (key: string): string => key.slice(SERVICE_PREFIX.length);
+
 /** Whether the key belongs to a service. */
 export const isServiceKey = (key: string): boolean => key.startsWith(SERVICE_PREFIX);
 
--- a/src/programs/controller/sharding.ts
+++ b/src/programs/controller/sharding.ts
@@ -3,7 +3,7 @@
  * written under its term; every controller answers heartbeats with the rows that a quorum read
  * begun after the heartbeat shows, and posts the owners as updates for the nodes.
  */
-import { serviceKey } from "../../config/config-keys.js";
+import { isServiceKey, serviceNameOf } from "../../config/config-keys.js";
 import type { LeaderLease } from "../../consensus/leader-lease.js";
 import type { Register } from "../../consensus/register.js";
 import type { ReplicatedStore } from "../../consensus/replicated-store.js";
@@ -32,6 +32,8 @@
 
 /** Prefix of the registers of tables; followed by the service. Stored, so it must not change. */
 const TABLE_PREFIX = "shard/";
+/** The encoded table of a service that has none yet. */
+const NO_ROWS = encodeTable([]);
 const PLAN_PERIOD_US = 250 * MILLISECOND_US;
 /** Heartbeats within this time share a quorum read. */
 const READ_BATCH_US = 100 * MILLISECOND_US;
@@ -69,6 +71,7 @@
   /** Resolves to true once a quorum read that was begun after the call has succeeded. */
   private readonly readQuorum: () => Promise<boolean>;
   private readonly tables = new Map<string, { register: Register; table: ShardTable }>();
+  private readonly shardedServices = new Set<string>();
   private readonly postedOwners = new Map<string, string>();
   private timer: Timer | undefined;
   private isPlanning = false;
@@ -84,7 +87,10 @@
         return { kind: PEER_REPLY.done };
       },
     };
-    store.events.on("committed", (registers) => this.post(registers));
+    store.events.on("committed", (registers) => {
+      this.learnServices(registers);
+      this.post(registers);
+    });
   }
 
   readonly start = (): void => {
@@ -94,14 +100,7 @@
   readonly close = (): void => this.timer?.stop();
 
   /** Whether the service's keys are granted to its workers. */
-  readonly isSharded = (service: string): boolean => {
-    const register = this.options.store.get(serviceKey(service));
-    return (
-      register !== undefined &&
-      !register.dropped &&
-      asRecord(parseJson(register.body))["sharded"] === true
-    );
-  };
+  readonly isSharded = (service: string): boolean => this.shardedServices.has(service);
 
   /**
    * Returns the part of the answer to a heartbeat that states what its worker is to hold; empty,
@@ -126,7 +125,7 @@
 
   /** The rows of all tables, for operators. */
   readonly describe = (): readonly UnknownRecord[] =>
-    this.shardedServices().flatMap((service) =>
+    [...this.shardedServices].flatMap((service) =>
       this.tableOf(service).map(({ from, to, worker, fence, isReleasing, next }) => ({
         service,
         from,
@@ -166,9 +165,6 @@
     return table;
   };
 
-  private readonly shardedServices = (): readonly string[] =>
-    [...new Set(this.options.registry.all().map(({ service }) => service))].filter(this.isSharded);
-
   /** On the leader, decides the next tables. */
   private readonly plan = async (): Promise<void> => {
     const { lease, registry } = this.options;
@@ -179,7 +175,7 @@
     if (this.isPlanning || !registry.isComplete()) return;
     this.isPlanning = true;
     try {
-      for (const service of this.shardedServices()) await this.planService(service);
+      for (const service of this.shardedServices) await this.planService(service);
     } finally {
       this.isPlanning = false;
     }
@@ -194,12 +190,12 @@
     const workers = registry
       .all()
       .filter((worker) => worker.service === service && worker.state === "ready");
-    const before = encodeTable(table);
+    const before = store.get(TABLE_PREFIX + service)?.body ?? NO_ROWS;
     const body = encodeTable(planNextTable(table, workers, this.tracker.stateOf(service)));
     if (body === before) return;
     const decided = await store.decide(
       TABLE_PREFIX + service,
-      (current) => ((current?.body ?? encodeTable([])) === before ? body : undefined),
+      (current) => ((current?.body ?? NO_ROWS) === before ? body : undefined),
       term,
     );
     if (decided.isOk && decided.value?.body === body)
@@ -210,6 +206,15 @@
       });
   };
 
+  private readonly learnServices = (registers: readonly Register[]): void =>
+    registers
+      .filter(({ key }) => isServiceKey(key))
+      .forEach(({ key, dropped, body }) => {
+        const isSharded = !dropped && asRecord(parseJson(body))["sharded"] === true;
+        if (isSharded) this.shardedServices.add(serviceNameOf(key));
+        else this.shardedServices.delete(serviceNameOf(key));
+      });
+
   private readonly post = (registers: readonly Register[]): void =>
     registers
       .filter(({ key }) => key.startsWith(TABLE_PREFIX))
