--- a/features/steps/customers.ts
+++ b/features/steps/customers.ts
@@ -12,7 +12,8 @@
 import { InitialLoad } from "../../src/programs/gateway/initial-load.js";
 import { CustomerDirectory } from "../../src/proxy/customer-directory.js";
 import { priorityOf } from "../../src/proxy/request-priority.js";
-import { SmallSystem, type Reply } from "../support/small-system.js";
+import type { Reply } from "../support/http-call.js";
+import { SmallSystem } from "../support/small-system.js";
 import type { StubWorker } from "../support/stub-worker.js";
 
 const KEY_HEADER = "Yewreel-Credential";
--- a/features/steps/system.ts
+++ b/features/steps/system.ts
@@ -1,5 +1,4 @@
 import assert from "node:assert/strict";
-import { request as httpRequest } from "node:http";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { runGateway } from "../../src/programs/gateway/gateway.js";
 import type { RunningProgram } from "../../src/programs/running-program.js";
@@ -7,6 +6,7 @@
 import { setLogLevel } from "../../src/common/logger.js";
 import type { Settings } from "../../src/common/settings.js";
 import { asRecord, asList, parseJson, type UnknownRecord } from "../../src/common/decode.js";
+import { callHttp } from "../support/http-call.js";
 import { ManualClock, settle } from "../support/manual-clock.js";
 import { StubWorker } from "../support/stub-worker.js";
 import { testSettings } from "../support/test-settings.js";
@@ -34,30 +34,6 @@
     withstandMachines: 1,
   });
 
-const call = (
-  address: string,
-  method: string,
-  path: string,
-  body = "",
-  headers: Readonly<Record<string, string>> = {},
-): Promise<{ readonly status: number; readonly body: string }> =>
-  new Promise((resolve) => {
-    const request = httpRequest(
-      `http://${address}${path}`,
-      { method, agent: false, headers: { ...headers, "Content-Length": Buffer.byteLength(body) } },
-      (response) => {
-        const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
-        response.on("end", () =>
-          resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }),
-        );
-        response.on("error", () => resolve({ status: 0, body: "" }));
-      },
-    );
-    request.on("error", () => resolve({ status: 0, body: "" }));
-    request.end(body);
-  });
-
 /** Advances the clock in small steps until the operation ends. */
 const advanceUntilDone = async <T>(operation: Promise<T>, stepUs = 5_000): Promise<T> => {
   let isDone = false;
@@ -113,7 +89,7 @@
   lastHeartbeatsUs = clock.nowUs();
   for (const worker of [...workers.values()].filter(({ id }) => zoneOfWorker(id) !== offlineZone))
     await advanceUntilDone(
-      call(
+      callHttp(
         liveController().control,
         "POST",
         `/workers/${worker.id}/heartbeat`,
@@ -172,7 +148,7 @@
 const applyConfiguration = async (controller: Settings, body: string): Promise<void> => {
   let status = 0;
   await advanceUntil(async () => {
-    status = (await advanceUntilDone(call(controller.control, "POST", "/plan/change", body)))
+    status = (await advanceUntilDone(callHttp(controller.control, "POST", "/plan/change", body)))
       .status;
     return status === 200;
   }, "the change is acknowledged");
@@ -183,7 +159,7 @@
 ): Promise<{ readonly status: number; readonly body: string }> => {
   lastRequestNumber += 1;
   return advanceUntilDone(
-    call(gateway.front, "POST", "/o/x", "an order", {
+    callHttp(gateway.front, "POST", "/o/x", "an order", {
       Host: "a.example",
       "Yewreel-Try-Id": `order-${lastRequestNumber}`,
       "Yewreel-Time-Left-Ms": "1500",
@@ -204,7 +180,7 @@
 };
 
 const queryRollouts = async (): Promise<string> =>
-  (await advanceUntilDone(call(liveController().control, "GET", "/tell/rollouts"))).body;
+  (await advanceUntilDone(callHttp(liveController().control, "GET", "/tell/rollouts"))).body;
 const requestsSeenBy = (prefix: string): number =>
   [...workers]
     .filter(([id]) => id.startsWith(prefix))
@@ -243,7 +219,7 @@
 Given("every gateway is ready", async () => {
   for (const gateway of gateways)
     await advanceUntil(
-      async () => (await advanceUntilDone(call(gateway.ready, "GET", "/ready"))).status === 200,
+      async () => (await advanceUntilDone(callHttp(gateway.ready, "GET", "/ready"))).status === 200,
       `${gateway.name} is ready`,
     );
   await clock.pass(500_000);
@@ -286,7 +262,12 @@
     const [worker, controller] = [workers.get(id), controllers[number - 1]];
     assert.ok(worker && controller);
     const answer = await advanceUntilDone(
-      call(controller.control, "POST", `/workers/${id}/heartbeat`, heartbeatOf(worker, "draining")),
+      callHttp(
+        controller.control,
+        "POST",
+        `/workers/${id}/heartbeat`,
+        heartbeatOf(worker, "draining"),
+      ),
     );
     assert.equal(answer.status, 200);
     workers.forEach((one) => one.requests.splice(0));
@@ -298,7 +279,7 @@
   const gateway = gateways[5];
   assert.ok(gateway);
   await advanceUntil(
-    async () => (await advanceUntilDone(call(gateway.ready, "GET", "/ready"))).status === 200,
+    async () => (await advanceUntilDone(callHttp(gateway.ready, "GET", "/ready"))).status === 200,
     "the sixth gateway is ready",
   );
 });
@@ -310,7 +291,9 @@
 When("the holder of the leader lease is stopped gracefully", async () => {
   const lease = asRecord(
     asRecord(
-      parseJson((await advanceUntilDone(call(liveController().control, "GET", "/tell/duty"))).body),
+      parseJson(
+        (await advanceUntilDone(callHttp(liveController().control, "GET", "/tell/duty"))).body,
+      ),
     )["duty"],
   );
   const holder = controllers.find((controller) => controller.control === lease["holder"]);
@@ -335,7 +318,7 @@
       parseJson(
         (
           await advanceUntilDone(
-            call(controller.control, "POST", `/workers/${id}/heartbeat`, heartbeatOf(worker)),
+            callHttp(controller.control, "POST", `/workers/${id}/heartbeat`, heartbeatOf(worker)),
           )
         ).body,
       ),
@@ -407,7 +390,7 @@
 /** Sends one request to each ready gateway, as the platform routes clients only to these. */
 const sendToReadyGateways = async (): Promise<void> => {
   for (const gateway of gateways.filter(({ name }) => running.has(name))) {
-    if ((await advanceUntilDone(call(gateway.ready, "GET", "/ready"))).status !== 200) continue;
+    if ((await advanceUntilDone(callHttp(gateway.ready, "GET", "/ready"))).status !== 200) continue;
     const before = requestsSeenInZone("c2");
     const { status } = await sendRequest(gateway);
     sentRequests.push({ id: `order-${lastRequestNumber}`, status });
@@ -419,7 +402,7 @@
   const response = asRecord(
     asRecord(
       parseJson(
-        (await advanceUntilDone(call(liveController().control, "GET", "/tell/windows"))).body,
+        (await advanceUntilDone(callHttp(liveController().control, "GET", "/tell/windows"))).body,
       ),
     )["windows"],
   );
@@ -436,7 +419,7 @@
     offlineZone = "";
     await advanceWithHeartbeats(3_000_000);
     const answer = await advanceUntilDone(
-      call(
+      callHttp(
         controllers[number - 1]?.control ?? "",
         "POST",
         "/windows",
@@ -486,7 +469,10 @@
   "the gateways of zone {string} are not ready, and its workers have got no request for {int} s or more",
   async (zone: string, seconds: number) => {
     for (const gateway of gateways.filter((one) => one.zone === zone))
-      assert.notEqual((await advanceUntilDone(call(gateway.ready, "GET", "/ready"))).status, 200);
+      assert.notEqual(
+        (await advanceUntilDone(callHttp(gateway.ready, "GET", "/ready"))).status,
+        200,
+      );
     assert.ok(clock.nowUs() - lastRequestInZoneUs >= seconds * 1_000_000);
   },
 );
@@ -509,7 +495,7 @@
   body: UnknownRecord,
 ): Promise<{ readonly status: number; readonly body: UnknownRecord }> => {
   const answer = await advanceUntilDone(
-    call(controller?.control ?? "", "POST", path, JSON.stringify(body)),
+    callHttp(controller?.control ?? "", "POST", path, JSON.stringify(body)),
   );
   return { status: answer.status, body: asRecord(parseJson(answer.body)) };
 };
@@ -569,7 +555,7 @@
   async (ratio: number, slack: number) => {
     const response = asRecord(
       parseJson(
-        (await advanceUntilDone(call(liveController().control, "GET", "/tell/retries"))).body,
+        (await advanceUntilDone(callHttp(liveController().control, "GET", "/tell/retries"))).body,
       ),
     );
     const row = asList(response["retries"])
--- a/features/support/small-system.ts
+++ b/features/support/small-system.ts
@@ -1,11 +1,11 @@
 /** A controller, a gateway and stub workers on loopback addresses, on a manual clock. */
-import { request as httpRequest } from "node:http";
 import { setLogLevel } from "../../src/common/logger.js";
 import type { Settings } from "../../src/common/settings.js";
 import { runController } from "../../src/programs/controller/controller.js";
 import { runGateway } from "../../src/programs/gateway/gateway.js";
 import type { Metric } from "../../src/programs/metrics-server.js";
 import type { RunningProgram } from "../../src/programs/running-program.js";
+import { callHttp, type Reply } from "./http-call.js";
 import { ManualClock, settle } from "./manual-clock.js";
 import { StubWorker } from "./stub-worker.js";
 import { testSettings } from "./test-settings.js";
@@ -17,35 +17,6 @@
 /** Time in which a committed change has reached the gateway. */
 const DISTRIBUTION_US = 500_000;
 
-/** Response to a call of the system. */
-export interface Reply {
-  readonly status: number;
-  readonly body: string;
-}
-
-const callOnce = (
-  address: string,
-  method: string,
-  path: string,
-  body: string,
-  headers: Readonly<Record<string, string>>,
-): Promise<Reply> =>
-  new Promise((resolve, reject) => {
-    const request = httpRequest(
-      `http://${address}${path}`,
-      { method, agent: false, headers: { ...headers, "Content-Length": Buffer.byteLength(body) } },
-      (response) => {
-        const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
-        response.on("end", () =>
-          resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }),
-        );
-      },
-    );
-    request.on("error", reject);
-    request.end(body);
-  });
-
 let systemCount = 0;
 
 /** One controller and one gateway that run in this process. */
@@ -106,7 +77,7 @@
   };
 
   readonly callController = (method: string, path: string, body = ""): Promise<Reply> =>
-    this.advance(callOnce(`${CONTROLLER_IP}:${this.basePort + 2}`, method, path, body, {}));
+    this.advance(callHttp(`${CONTROLLER_IP}:${this.basePort + 2}`, method, path, body));
 
   /** Sends a request to the gateway. */
   readonly request = (
@@ -116,7 +87,7 @@
   ): Promise<Reply> => {
     this.requestCount += 1;
     return this.advance(
-      callOnce(`${GATEWAY_IP}:${this.basePort + 4}`, method, path, method === "GET" ? "" : "body", {
+      callHttp(`${GATEWAY_IP}:${this.basePort + 4}`, method, path, method === "GET" ? "" : "body", {
         Host: "a.example",
         "Yewreel-Try-Id": `request-${this.requestCount}`,
         "Yewreel-Time-Left-Ms": "1500",
--- a/simulator/simulated-controller.ts
+++ b/simulator/simulated-controller.ts
@@ -7,8 +7,7 @@
 import { LeaderLease, type LeaderLeaseOptions } from "../src/consensus/leader-lease.js";
 import { CONSENSUS_MESSAGE_KINDS } from "../src/consensus/messages.js";
 import { ReplicatedStore, type ReplicatedStoreOptions } from "../src/consensus/replicated-store.js";
-import { CUSTOMERS_SERIALIZATION_KEY } from "../src/config/config-keys.js";
-import { findSharedKey, putsCustomers } from "../src/config/customer-keys.js";
+import { findSharedKey, serializationOf } from "../src/config/customer-keys.js";
 import type { Register } from "../src/consensus/register.js";
 import type { WriteCheck } from "../src/consensus/register-writer.js";
 import type { Clock } from "../src/common/clock.js";
@@ -235,7 +234,7 @@
     };
     const proposed = await this.store.propose(change.registers, {
       findProblem,
-      ...(putsCustomers(change.registers) ? { serializationKey: CUSTOMERS_SERIALIZATION_KEY } : {}),
+      ...serializationOf(change.registers),
     });
     attempt.endUs = time.nowUs();
     if (proposed.isOk) {
--- a/src/config/customer-keys.ts
+++ b/src/config/customer-keys.ts
@@ -11,7 +11,8 @@
   type UnknownRecord,
 } from "../common/decode.js";
 import type { Register } from "../consensus/register.js";
-import { isCustomerKey } from "./config-keys.js";
+import type { WriteOptions } from "../consensus/register-writer.js";
+import { CUSTOMERS_SERIALIZATION_KEY, isCustomerKey } from "./config-keys.js";
 
 /** Up to this many keys are searched for in the text of the other customers, without parsing it. */
 const MAX_KEYS_TO_SEARCH = 16;
@@ -51,9 +52,13 @@
   return newest;
 };
 
-/** Whether a change puts a customer, so that it may have to be checked for shared keys. */
-export const putsCustomers = (change: readonly Register[]): boolean =>
-  change.some(({ key, dropped }) => isCustomerKey(key) && !dropped);
+/** A change that puts customers is decided after all others that do, since it may share a key. */
+export const serializationOf = (
+  change: readonly Register[],
+): Pick<WriteOptions, "serializationKey"> =>
+  change.some(({ key, dropped }) => isCustomerKey(key) && !dropped)
+    ? { serializationKey: CUSTOMERS_SERIALIZATION_KEY }
+    : {};
 
 /**
  * Returns the names of two customers that would share an API key after the change; undefined if
--- a/src/programs/controller/config.ts
+++ b/src/programs/controller/config.ts
@@ -8,8 +8,8 @@
 import { parseChangeIncrementally } from "../../config/change-request.js";
 import { findProblemOf, toConfigDocument } from "../../config/config-document.js";
 import { toConfigUpdate } from "../../config/config-update.js";
-import { countByKind, CUSTOMERS_SERIALIZATION_KEY, isConfigKey } from "../../config/config-keys.js";
-import { putsCustomers } from "../../config/customer-keys.js";
+import { countByKind, isConfigKey } from "../../config/config-keys.js";
+import { serializationOf } from "../../config/customer-keys.js";
 import type { Register } from "../../consensus/register.js";
 import type { ReplicatedStore } from "../../consensus/replicated-store.js";
 import type { NodeSessions } from "../../membership/node-sessions.js";
@@ -78,7 +78,7 @@
 ): Promise<Result<UnknownRecord, AdminApiError>> => {
   const proposed = await store.propose(change, {
     findProblem: findProblemOf(change),
-    ...(putsCustomers(change) ? { serializationKey: CUSTOMERS_SERIALIZATION_KEY } : {}),
+    ...serializationOf(change),
   });
   return proposed.mapErr(fromStoreError).map(() => ({}));
 };
