Gateways count their client connections by what they do, and log them when draining ends

Change: metric `yewreel_client_connections` by state (idle, serving, closing) and the log line `draining ended` with the same counts and the open requests.

--- a/src/programs/gateway/gateway.ts
+++ b/src/programs/gateway/gateway.ts
@@ -1,7 +1,7 @@
 /** The gateway program: joins the cluster and serves requests until it is stopped. */
 import { sleep, type Clock } from "../../common/clock.js";
 import { MILLISECOND_US } from "../../common/duration.js";
-import { loggerFor } from "../../common/logger.js";
+import { loggerFor, type Logger } from "../../common/logger.js";
 import type { Settings } from "../../common/settings.js";
 import { ProxyServer } from "../../proxy/proxy-server.js";
 import { joinCluster } from "../data-plane-node.js";
@@ -74,7 +74,12 @@
  * Stops accepting connections once others have seen that this node is not ready, then waits for
  * open requests until the deadline.
  */
-const drain = async (server: ProxyServer, clock: Clock, graceUs: number): Promise<void> => {
+const drain = async (
+  server: ProxyServer,
+  clock: Clock,
+  graceUs: number,
+  log: Logger,
+): Promise<void> => {
   const deadlineUs = clock.nowUs() + graceUs - SHUTDOWN_MARGIN_US;
   server.startDraining();
   await sleep(clock, Math.min(DRAIN_NOTICE_US, (graceUs - SHUTDOWN_MARGIN_US) / 2));
@@ -83,6 +88,8 @@
     await sleep(clock, DRAIN_CHECK_US);
     server.closeIdleConnections();
   }
+  const { openRequests } = server;
+  log.info("draining ended", { ...server.countConnections(), openRequests });
 };
 
 /** Starts a gateway. Resolves once it listens. */
@@ -136,7 +143,7 @@
     stop: async () => {
       log.info("gateway is shutting down");
       isStopping = true;
-      await drain(server, clock, settings.graceUs);
+      await drain(server, clock, settings.graceUs, log);
       reports.stop();
       objectCache?.stop();
       subscriber.stop();
--- a/src/programs/gateway/metrics.ts
+++ b/src/programs/gateway/metrics.ts
@@ -75,6 +75,18 @@
     help: "Requests read and not yet answered.",
     read: () => server.openRequests,
   },
+  {
+    name: "yewreel_client_connections",
+    help: "Open client connections, by what they do: idle, serving or closing.",
+    read: () => {
+      const { idle, serving, closing } = server.countConnections();
+      return [
+        { labels: { state: "idle" }, value: idle },
+        { labels: { state: "serving" }, value: serving },
+        { labels: { state: "closing" }, value: closing },
+      ];
+    },
+  },
   {
     name: "yewreel_requests",
     help: "Requests answered since the start, by outcome.",
--- a/src/proxy/client-connection.ts
+++ b/src/proxy/client-connection.ts
@@ -73,11 +73,29 @@
   return code === "ERR_HTTP_REQUEST_TIMEOUT" ? "slowHead" : "malformed";
 };
 
+/** The number of open client connections by what they do. */
+export interface ConnectionCounts {
+  /** Without an open request. */
+  readonly idle: number;
+  /** With an open request, and further requests are accepted. */
+  readonly serving: number;
+  /** With an open request whose response, or that of a later one, closes the connection. */
+  readonly closing: number;
+}
+
 /** Tracks all client connections of the server. */
 export class ClientConnections {
-  private readonly bySocket = new WeakMap<Socket, ClientConnection>();
+  private readonly bySocket = new Map<Socket, ClientConnection>();
+
+  /** Counts the open connections. */
+  readonly count = (): ConnectionCounts => {
+    const all = [...this.bySocket.values()];
+    const busy = all.filter(({ openRequests }) => openRequests > 0);
+    const closing = busy.filter(isClosing).length;
+    return { idle: all.length - busy.length, serving: busy.length - closing, closing };
+  };
 
-  /** Returns the connection of a socket, creating it on the first request. */
+  /** Returns the connection of a socket, creating it when it is first seen. */
   readonly forSocket = (socket: Socket): ClientConnection => {
     const existing = this.bySocket.get(socket);
     if (existing) return existing;
@@ -89,6 +107,7 @@
       closedAfter: Infinity,
     };
     this.bySocket.set(socket, connection);
+    socket.once("close", () => this.bySocket.delete(socket));
     return connection;
   };
 
--- a/src/proxy/proxy-server.ts
+++ b/src/proxy/proxy-server.ts
@@ -12,6 +12,7 @@
   isClosing,
   waitUntilClosed,
   type ClientConnection,
+  type ConnectionCounts,
 } from "./client-connection.js";
 import { newDeliveryState } from "./delivery-state.js";
 import { ATTEMPT_ID_HEADER, TIME_LEFT_HEADER } from "./headers.js";
@@ -54,9 +55,13 @@
       },
       app,
     );
+    this.server.on("connection", this.connections.forSocket);
     this.server.on("clientError", this.connections.handleClientError);
   }
 
+  /** Counts the open client connections by what they do. */
+  readonly countConnections = (): ConnectionCounts => this.connections.count();
+
   /** Requests read and not yet answered. */
   get openRequests(): number {
     return this.open;
