A draining gateway chooses the last request of each connection when draining begins

What callers saw: a client that always has a further safe request open got no response with `Connection: close` from a gateway that had SIGTERM. Its requests were read and sent to workers for 5.6 s more, and the last ones were cut when the process ended (LOST).

Cause: a response closed its connection only if no other request was open on it at that moment. With a client that pipelines this never holds.

Excluded: that the connections were closing and the clients went on (none was closing), and that `closeIdleConnections` cut the counted requests (they end with the process). It does reset connections besides; that is a fault of its own.

Change: the choice is made by position. When draining begins, or the zone is drained for a maintenance window, the newest request that was read becomes the last one of its connection; where nothing is open or its head is already written, the next request that is read does. Nothing behind it is served, as RFC 9112, section 9.6 asks. Connections have a class and a module of their own, and the response writer no longer knows about draining.

--- a/src/proxy/pipeline.ts
+++ b/src/proxy/pipeline.ts
@@ -86,14 +86,7 @@
   private readonly reading: PipelineStage<RequestContext>;
   private readonly forwarding: PipelineStage<RequestContext>;
 
-  /**
-   * @param options - dependencies shared by the stages
-   * @param isDraining - whether responses close their connections
-   */
-  constructor(
-    private readonly options: PipelineOptions,
-    isDraining: () => boolean,
-  ) {
+  constructor(private readonly options: PipelineOptions) {
     const {
       clock,
       bufferMemoryBytes,
@@ -112,7 +105,6 @@
     this.writer = new ResponseWriter({
       outcomes: this.outcomes,
       completion: this.completion,
-      isDraining,
       ...(loadCounters ? { countRejected: loadCounters.recordRejection } : {}),
     });
     const { writer, memory } = this;
--- a/src/proxy/proxy-server.ts
+++ b/src/proxy/proxy-server.ts
@@ -7,13 +7,8 @@
 import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
 import type { Logger } from "../common/logger.js";
 import { splitAddress } from "../common/settings.js";
-import {
-  ClientConnections,
-  isClosing,
-  waitUntilClosed,
-  type ClientConnection,
-  type ConnectionCounts,
-} from "./client-connection.js";
+import { waitUntilClosed, type ClientConnection } from "./client-connection.js";
+import { ClientConnections, type ConnectionCounts } from "./client-connections.js";
 import { newDeliveryState } from "./delivery-state.js";
 import { ATTEMPT_ID_HEADER, TIME_LEFT_HEADER } from "./headers.js";
 import { RequestPipeline, type PipelineOptions } from "./pipeline.js";
@@ -40,7 +35,7 @@
   private isZoneDrained = false;
 
   constructor(private readonly options: ProxyServerOptions) {
-    this.pipeline = new RequestPipeline(options, () => this.isDraining || this.isZoneDrained);
+    this.pipeline = new RequestPipeline(options);
     const app = express();
     app.disable("x-powered-by");
     app.disable("etag");
@@ -93,18 +88,20 @@
   readonly wake = (): void => this.pipeline.wake();
 
   /**
-   * Makes responses close their connections from now on. Requests that were read are still
-   * completed.
+   * Ends each connection after the requests that were read from it; one without open requests after
+   * its next request.
    */
   readonly startDraining = (): void => {
     this.isDraining = true;
+    this.connections.closeAfterNewest();
   };
 
   /**
-   * Sets whether the node's zone is drained for a maintenance window. While it is, responses close
-   * their connections so that clients reconnect elsewhere.
+   * Sets whether the node's zone is drained for a maintenance window. While it is, connections end
+   * as in {@link startDraining}, so that clients reconnect elsewhere.
    */
   readonly setZoneDrained = (isDrained: boolean): void => {
+    if (isDrained && !this.isZoneDrained) this.connections.closeAfterNewest();
     this.isZoneDrained = isDrained;
   };
 
@@ -118,10 +115,9 @@
 
   private readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
     const connection = this.connections.forSocket(req.socket);
-    if (isClosing(connection)) return;
-    connection.received += 1;
+    if (connection.isClosing) return;
     const context = this.newContext(req, res, connection);
-    connection.openRequests += 1;
+    if (this.isDraining || this.isZoneDrained) connection.closeAfterNewest();
     this.open += 1;
     connection.lastAnswered = waitUntilClosed(context, this.close);
     this.pipeline.start(context);
@@ -145,7 +141,7 @@
       res,
       connection,
       previousAnswered: connection.lastAnswered,
-      position: connection.received,
+      position: connection.addRequest(res),
       arrivedUs,
       attemptId: String(req.headers[ATTEMPT_ID_HEADER] ?? ""),
       deadlineUs: arrivedUs + (hasTimeLeft ? leftMs * MILLISECOND_US : DEFAULT_TIME_LEFT_US),
--- a/src/proxy/response-writer.ts
+++ b/src/proxy/response-writer.ts
@@ -13,8 +13,6 @@
 export interface ResponseWriterOptions {
   readonly outcomes: OutcomeRecorder;
   readonly completion: RequestCompletion;
-  /** Returns whether responses close their connections, so that clients reconnect elsewhere. */
-  readonly isDraining: () => boolean;
   /** Counts a request rejected with the outcome `full`, for the capacity forecast. */
   readonly countRejected?: (service: string) => void;
 }
@@ -56,7 +54,7 @@
     if (!remainder && hasLength(context, status))
       headers.push("Content-Length", String(body.length));
     this.options.outcomes.recordResponse(context, status);
-    this.closeAfter(context, false);
+    this.announceClose(context);
     res.writeHead(status, headers);
     context.isFinished = true;
     closeDelivery(context.deliveryState);
@@ -89,7 +87,8 @@
     const outcome = HTTP_OUTCOMES[name];
     if (name === "full" && context.service !== "") this.options.countRejected?.(context.service);
     this.options.outcomes.recordRejection(context, name);
-    this.closeAfter(context, outcome.closesConnection);
+    if (outcome.closesConnection) context.connection.closeAfter(context.position);
+    this.announceClose(context);
     const body = JSON.stringify({ problem: outcome.problem });
     if (outcome.status === UNAUTHORIZED) res.setHeader("WWW-Authenticate", CHALLENGE);
     if (outcome.retryAfter) res.setHeader("Retry-After", retryAfterSeconds(route, minRetryAfterUs));
@@ -119,14 +118,8 @@
     );
   };
 
-  /**
-   * Closes the connection after this response, either if requested or if the node is draining and
-   * the connection has no other open request.
-   */
-  private readonly closeAfter = (context: RequestContext, closes: boolean): void => {
-    const { connection } = context;
-    if (!closes && !(this.options.isDraining() && connection.openRequests === 1)) return;
-    connection.closedAfter = context.position;
-    context.res.setHeader("Connection", "close");
+  /** Says that the connection closes after this response, if it does. */
+  private readonly announceClose = ({ connection, position, res }: RequestContext): void => {
+    if (connection.closedAfter === position) res.setHeader("Connection", "close");
   };
 }
