Client connections end in two steps and only when nothing is unsent on them

Cause: the gateway left the ending of connections to Node's HTTP server. Its `closeIdleConnections`, which `close` calls too, takes a connection for idle once the response at its head was ended, although its bytes have not left the process, and destroys it with the responses behind it. After a last response, at the idle time-out and at an unreadable request, the connection was destroyed in one step; with unread bytes the kernel then sends a reset. An unreadable request behind open ones cut those.

Change: `ClientConnections` owns every way in which a gateway ends a connection. Idle is a connection on which no request is open and nothing of a further one has been read; a request is open until its last byte has left the process. A connection ends its sending side, then reads and drops until the client closes, for 1 s at most (RFC 9112, section 9.6). An unreadable request behind open ones counts as unprocessed; they are answered. The gateway waits for its connections, not only for open requests, and cuts what is left at the end of the grace period. Cuts are counted by reason in `yewreel_client_connections_cut`: grace-period, linger, malformed-body.

--- a/features/steps/client-connections.ts
+++ b/features/steps/client-connections.ts
@@ -3,7 +3,12 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { ProxyHarness } from "../../fuzz/proxy-harness.js";
 import { RawClient } from "../../fuzz/raw-client.js";
-import { responseBytes, ScriptedWorker, type WorkerRequest } from "../../fuzz/scripted-worker.js";
+import {
+  responseBytes,
+  ScriptedWorker,
+  type Script,
+  type WorkerRequest,
+} from "../../fuzz/scripted-worker.js";
 import { settle } from "../support/manual-clock.js";
 
 /** More than a gateway buffers of a response before it sends the head. */
@@ -24,6 +29,9 @@
 let pending: PendingRequest[] = [];
 let sentCount = 0;
 let bodyBytes = 2;
+let isRunning = false;
+/** The error of the client's socket, if any. */
+let socketError = "";
 
 const isClosing = (head: string): boolean => /^connection: *close$/im.test(head);
 
@@ -42,13 +50,19 @@
   });
 };
 
+/** Sends requests until so many are open. */
+const keepOpen = (depth: number): void => {
+  while (!client.isClosed && sentCount < client.responses.length + depth) sendNext();
+};
+
 /** Waits for real sockets without advancing the gateway's clock. */
 const waitFor = async (condition: () => boolean): Promise<void> => {
   for (let turn = 0; turn < 5_000 && !condition(); turn += 1) await settle(1);
 };
 
 After({ tags: "not @none" }, async () => {
-  if (sentCount === 0) return;
+  if (!isRunning) return;
+  isRunning = false;
   sentCount = 0;
   client.socket.destroy();
   harness.stop();
@@ -56,28 +70,87 @@
   await settle();
 });
 
-Given("a gateway whose worker responds one request at a time", async () => {
+const startGateway = async (script: Script): Promise<void> => {
   pending = [];
   bodyBytes = 2;
+  socketError = "";
   harness = new ProxyHarness();
+  isRunning = true;
   await harness.start();
-  worker = new ScriptedWorker("w1", {
-    onRequest: (request, socket) => pending.push({ request, socket, unsent: responseTo(request) }),
-  });
+  worker = new ScriptedWorker("w1", script);
   await harness.join(worker);
+};
+const connectClient = (): void => {
+  client = new RawClient(harness.host, harness.port);
+  client.socket.on("error", (error) => {
+    socketError = error.message;
+  });
+};
+
+Given("a gateway whose worker responds one request at a time", () =>
+  startGateway({
+    onRequest: (request, socket) => pending.push({ request, socket, unsent: responseTo(request) }),
+  }),
+);
+Given("a gateway whose worker responds with {int} bytes", async (size: number) => {
+  await startGateway({ onRequest: (request, socket) => void socket.write(responseTo(request)) });
+  bodyBytes = size;
 });
 Given(
-  /^a client that keeps (\d+) safe requests? open on one connection$/,
-  async (depth: string) => {
-    client = new RawClient(harness.host, harness.port);
+  /^a client that keeps (\d+) safe requests? open on one connection( and never closes it)?$/,
+  async (depth: string, staysOpen: string | null) => {
+    connectClient();
+    client.socket.allowHalfOpen = staysOpen !== null;
     for (let at = 0; at < Number(depth); at += 1) sendNext();
     await waitFor(() => pending.length === Number(depth));
     assert.equal(pending.length, Number(depth));
   },
 );
+Given(
+  "a client that requests {int} such responses on one connection and doesn't read them",
+  async (count: number) => {
+    connectClient();
+    client.socket.pause();
+    for (let at = 0; at < count; at += 1) sendNext();
+    await waitFor(() => worker.requests.length === count);
+    assert.equal(worker.requests.length, count);
+  },
+);
 
 When("the gateway starts draining", () => harness.proxy.startDraining());
+When("the gateway drains and stops listening", async () => {
+  harness.proxy.startDraining();
+  harness.proxy.stopListening();
+  await settle();
+});
+When("the grace period ends", async () => {
+  harness.proxy.cutConnections();
+  await waitFor(() => client.isClosed);
+});
 When("the gateway's zone drains", () => harness.proxy.setZoneDrained(true));
+When("the client reads", async () => {
+  client.socket.resume();
+  await waitFor(() => client.isClosed);
+});
+When("the client sends bytes that are no request", async () => {
+  client.write("this is no request\r\n\r\n");
+  await settle();
+});
+When("the worker responds to the open request", async () => {
+  const [open] = pending.splice(0);
+  open?.socket.write(open.unsent);
+  await waitFor(() => client.responses.length === 1 && client.socket.readableEnded);
+});
+When("the client goes on sending for {int} ms", async (durationMs: number) => {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+    sendNext();
+    await harness.clock.pass(100_000);
+  }
+});
+When("the client still sends {int} ms later", async (durationMs: number) => {
+  await harness.clock.pass(durationMs * 1_000);
+  await waitFor(() => harness.proxy.openConnections === 0);
+});
 When("the worker sends half of a large response", async () => {
   bodyBytes = LARGE_BODY_BYTES;
   const [first] = pending;
@@ -96,7 +169,7 @@
     const next = pending.shift();
     next?.socket.write(next.unsent);
     await waitFor(() => client.responses.length > answeredBefore || client.isClosed);
-    while (!client.isClosed && sentCount < client.responses.length + depth) sendNext();
+    keepOpen(depth);
     await waitFor(() => pending.length > 0 || client.isClosed);
   }
 });
@@ -111,6 +184,23 @@
     assert.ok(client.isClosed);
   },
 );
-Then("the worker received only {int} requests", (count: number) =>
-  assert.equal(worker.requests.length, count),
+Then("the client got {int} complete responses and a regular end", (count: number) => {
+  assert.deepEqual(
+    client.responses.map(({ status, attemptId, body }) => [status, attemptId, body.length]),
+    Array.from({ length: count }, (_, at) => [200, `t-${at + 1}`, bodyBytes]),
+  );
+  assert.deepEqual([client.isClosed, client.unread, socketError], [true, "", ""]);
+});
+Then("the client got its response and no reset", () => {
+  assert.deepEqual([client.responses.length, client.isClosed, socketError], [1, false, ""]);
+});
+Then("the connection is closed and counted as cut for {string}", (reason: string) => {
+  assert.equal(harness.proxy.openConnections, 0);
+  assert.deepEqual(
+    [...harness.proxy.cutCounts].filter(([, count]) => count > 0),
+    [[reason, 1]],
+  );
+});
+Then(/^the worker received only (\d+) requests?$/, (count: string) =>
+  assert.equal(worker.requests.length, Number(count)),
 );
--- a/src/programs/gateway/gateway.ts
+++ b/src/programs/gateway/gateway.ts
@@ -71,8 +71,8 @@
 };
 
 /**
- * Stops accepting connections once others have seen that this node is not ready, then waits for
- * open requests until the deadline.
+ * Stops accepting connections once others have seen that this node is not ready, waits until the
+ * clients' connections have ended, and cuts those that are left at the deadline.
  */
 const drain = async (
   server: ProxyServer,
@@ -84,12 +84,11 @@
   server.startDraining();
   await sleep(clock, Math.min(DRAIN_NOTICE_US, (graceUs - SHUTDOWN_MARGIN_US) / 2));
   server.stopListening();
-  while (server.openRequests > 0 && clock.nowUs() < deadlineUs) {
+  while (server.openConnections > 0 && clock.nowUs() < deadlineUs)
     await sleep(clock, DRAIN_CHECK_US);
-    server.closeIdleConnections();
-  }
   const { openRequests } = server;
   log.info("draining ended", { ...server.countConnections(), openRequests });
+  server.cutConnections();
 };
 
 /** Starts a gateway. Resolves once it listens. */
--- a/src/programs/gateway/metrics.ts
+++ b/src/programs/gateway/metrics.ts
@@ -87,6 +87,11 @@
       ];
     },
   },
+  {
+    name: "yewreel_client_connections_cut",
+    help: "Client connections cut instead of ended after a last response, by reason.",
+    read: () => [...server.cutCounts].map(([reason, value]) => ({ labels: { reason }, value })),
+  },
   {
     name: "yewreel_requests",
     help: "Requests answered since the start, by outcome.",
--- a/src/proxy/client-connections.ts
+++ b/src/proxy/client-connections.ts
@@ -1,7 +1,11 @@
-/** All client connections of the server, and what happens to them when the node drains. */
+/**
+ * All client connections of the server, and everything that ends one from this side: draining, idle
+ * and header time-outs, malformed requests, and the end of the grace period.
+ */
 import type { Socket } from "node:net";
+import type { Clock } from "../common/clock.js";
 import { HTTP_OUTCOMES, type OutcomeName } from "../common/http-outcomes.js";
-import { ClientConnection } from "./client-connection.js";
+import { ClientConnection, CUT_REASONS, type CutReason } from "./client-connection.js";
 
 const outcomeOfParseError = (code: string | undefined): OutcomeName => {
   if (code === "HPE_HEADER_OVERFLOW") return "headTooLarge";
@@ -21,6 +25,19 @@
 /** Tracks all client connections of the server. */
 export class ClientConnections {
   private readonly bySocket = new Map<Socket, ClientConnection>();
+  private readonly cuts = new Map<CutReason, number>(CUT_REASONS.map((reason) => [reason, 0]));
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.bySocket.size;
+  }
+
+  /** Number of connections that were cut, by reason. */
+  get cutCounts(): ReadonlyMap<CutReason, number> {
+    return this.cuts;
+  }
 
   /** Counts the open connections. */
   readonly count = (): ConnectionCounts => {
@@ -37,33 +54,56 @@
   readonly closeAfterNewest = (): void =>
     this.bySocket.forEach((connection) => connection.closeAfterNewest());
 
+  /** Ends each connection as soon as it is idle. */
+  readonly endWhenIdle = (): void =>
+    this.bySocket.forEach((connection) => connection.endWhenIdle());
+
+  /** Cuts all connections. */
+  readonly cutAll = (reason: CutReason): void =>
+    this.bySocket.forEach((connection) => connection.cut(reason));
+
+  /** Ends a connection that has been idle for too long. */
+  readonly handleIdleTimeout = (socket: Socket): void => {
+    const connection = this.forSocket(socket);
+    if (connection.isIdle) connection.end();
+  };
+
   /** Returns the connection of a socket, creating it when it is first seen. */
   readonly forSocket = (socket: Socket): ClientConnection => {
     const existing = this.bySocket.get(socket);
     if (existing) return existing;
-    const connection = new ClientConnection(socket);
+    const { clock, countCut } = this;
+    const connection = new ClientConnection(socket, { clock, countCut });
     this.bySocket.set(socket, connection);
     socket.once("close", () => this.bySocket.delete(socket));
     return connection;
   };
 
   /**
-   * Handles a parser or socket error by sending an error response and closing the connection. While
-   * earlier requests are open it closes the connection without a response, since the client would
-   * attribute that response to one of them.
+   * Handles a parser or socket error. A request that can't be read gets an error response, after
+   * which the connection ends. If earlier requests are open, they are answered, the last of them
+   * closes the connection, and the unreadable one counts as unprocessed: an error response of its
+   * own might be taken for theirs.
    */
   readonly handleClientError = (error: NodeJS.ErrnoException, socket: Socket): void => {
-    const connection = this.bySocket.get(socket);
-    if (!socket.writable || (connection !== undefined && connection.openRequests > 0)) {
+    const connection = this.forSocket(socket);
+    if (!socket.writable || error.code === "ECONNRESET") {
       socket.destroy();
       return;
     }
-    connection?.refuseFurther();
-    if (error.code === "ECONNRESET") {
-      socket.destroy();
+    if (connection.isReadingBody) {
+      connection.cut("malformed-body");
       return;
     }
+    if (connection.isClosing) return;
+    connection.refuseFurther();
+    if (connection.openRequests > 0) return;
     const { status, problem } = HTTP_OUTCOMES[outcomeOfParseError(error.code)];
-    socket.end(`HTTP/1.1 ${status} ${problem}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    socket.write(`HTTP/1.1 ${status} ${problem}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    connection.end();
+  };
+
+  private readonly countCut = (reason: CutReason): void => {
+    this.cuts.set(reason, (this.cuts.get(reason) ?? 0) + 1);
   };
 }
--- a/src/proxy/proxy-server.ts
+++ b/src/proxy/proxy-server.ts
@@ -4,10 +4,11 @@
  */
 import express from "express";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
 import type { Logger } from "../common/logger.js";
 import { splitAddress } from "../common/settings.js";
-import { waitUntilClosed, type ClientConnection } from "./client-connection.js";
+import { waitUntilClosed, type ClientConnection, type CutReason } from "./client-connection.js";
 import { ClientConnections, type ConnectionCounts } from "./client-connections.js";
 import { newDeliveryState } from "./delivery-state.js";
 import { ATTEMPT_ID_HEADER, TIME_LEFT_HEADER } from "./headers.js";
@@ -27,7 +28,7 @@
 /** The HTTP server that accepts client requests. */
 export class ProxyServer {
   private readonly server: Server;
-  private readonly connections = new ClientConnections();
+  private readonly connections: ClientConnections;
   private readonly pipeline: RequestPipeline;
   /** Requests read and not yet answered. */
   private open = 0;
@@ -35,6 +36,7 @@
   private isZoneDrained = false;
 
   constructor(private readonly options: ProxyServerOptions) {
+    this.connections = new ClientConnections(options.clock);
     this.pipeline = new RequestPipeline(options);
     const app = express();
     app.disable("x-powered-by");
@@ -52,6 +54,17 @@
     );
     this.server.on("connection", this.connections.forSocket);
     this.server.on("clientError", this.connections.handleClientError);
+    this.server.on("timeout", this.connections.handleIdleTimeout);
+  }
+
+  /** Number of open client connections. */
+  get openConnections(): number {
+    return this.connections.size;
+  }
+
+  /** Number of client connections that were cut, by reason. */
+  get cutCounts(): ReadonlyMap<CutReason, number> {
+    return this.connections.cutCounts;
   }
 
   /** Counts the open client connections by what they do. */
@@ -105,17 +118,22 @@
     this.isZoneDrained = isDrained;
   };
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections, and ends each open one as soon as it is idle. */
   readonly stopListening = (): void => {
-    this.server.close();
-    this.server.closeIdleConnections();
+    // The HTTP server's own `close` also destroys connections that have unsent bytes.
+    NetServer.prototype.close.call(this.server);
+    this.connections.endWhenIdle();
   };
 
-  readonly closeIdleConnections = (): void => this.server.closeIdleConnections();
+  /** Cuts the connections that are still open at the end of the grace period. */
+  readonly cutConnections = (): void => this.connections.cutAll("grace-period");
 
   private readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
     const connection = this.connections.forSocket(req.socket);
-    if (connection.isClosing) return;
+    if (connection.isClosing) {
+      req.resume();
+      return;
+    }
     const context = this.newContext(req, res, connection);
     if (this.isDraining || this.isZoneDrained) connection.closeAfterNewest();
     this.open += 1;
@@ -141,7 +159,7 @@
       res,
       connection,
       previousAnswered: connection.lastAnswered,
-      position: connection.addRequest(res),
+      position: connection.addRequest(req, res),
       arrivedUs,
       attemptId: String(req.headers[ATTEMPT_ID_HEADER] ?? ""),
       deadlineUs: arrivedUs + (hasTimeLeft ? leftMs * MILLISECOND_US : DEFAULT_TIME_LEFT_US),
