The soak has pipelining clients, and judges a drain to the end of the grace period

Its clients send one request at a time on a connection, and the check of drains left out requests sent later than 3 s after SIGTERM, although on a kept connection these are read and run too.

Change: each gateway gets a client that always has three safe requests open on one connection. The check judges what was sent until the end of the grace period.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -167,7 +167,7 @@
           process === gateway &&
           kind === "term" &&
           fromUs <= endedUs &&
-          sentUs <= fromUs + 3_000_000,
+          sentUs <= fromUs + BOUNDS.graceUs,
       ) &&
       !faults.some(
         (other) =>
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -5,6 +5,7 @@
 import { messageOf } from "../src/common/errors.js";
 import { BOUNDS } from "./bounds.js";
 import { Client } from "./client.js";
+import { PipeliningClient } from "./pipelining-client.js";
 import { HistoryRecorder, type FaultRecord, type History } from "./history.js";
 import { callApi } from "./http-call.js";
 import { Operator } from "./operator.js";
@@ -56,7 +57,7 @@
   readonly gateways: readonly Program[];
   readonly operator: Operator;
   private readonly workers: readonly Worker[];
-  private readonly clients: readonly Client[];
+  private readonly clients: readonly (Client | PipeliningClient)[];
   private readonly random: SeededRandom;
   private readonly faultyPrograms = new Set<Program>();
   private delayTimer: NodeJS.Timeout | undefined;
@@ -103,10 +104,10 @@
           }),
       ),
     );
-    this.clients = this.gateways.map(
-      (gateway) =>
-        new Client({ gateway, history, nowUs, random, seed, intervalMs: CLIENT_INTERVAL_MS }),
-    );
+    this.clients = this.gateways.flatMap((gateway) => [
+      new Client({ gateway, history, nowUs, random, seed, intervalMs: CLIENT_INTERVAL_MS }),
+      new PipeliningClient({ gateway, history, nowUs, seed }),
+    ]);
   }
 
   /** Starts everything. Throws if a gateway is not ready in time. */
