A client connection has one close listener for all its requests

Cause: each pipelined request added a listener to the socket, so Node warned of a listener leak beyond ten of them ("MaxListenersExceededWarning", seen in the scenario of the slow reader).

Change: the connection listens once and tells its open requests.

Measured: the scenarios of client connections and of pipelining pass without the warning.

--- a/src/proxy/client-connection.ts
+++ b/src/proxy/client-connection.ts
@@ -34,6 +34,8 @@
   private newestResponse: ServerResponse | undefined;
   /** `bytesRead` of the socket when the last open request was answered. */
   private bytesReadWhenAnswered = 0;
+  /** Called when the socket closes; one listener of the socket serves all requests. */
+  readonly closeListeners = new Set<() => void>();
   private endsWhenIdle = false;
   private hasEnded = false;
 
@@ -44,6 +46,7 @@
     readonly socket: Socket,
     private readonly options: ClientConnectionOptions,
   ) {
+    socket.once("close", () => this.closeListeners.forEach((listener) => listener()));
     // Node calls this method after the last response; its own version closes in one step.
     socket.destroySoon = this.end;
   }
@@ -165,13 +168,13 @@
     const close = () => {
       if (!isOpen) return;
       isOpen = false;
-      connection.socket.off("close", close);
+      connection.closeListeners.delete(close);
       connection.removeRequest();
       onClosed(context);
       resolve();
     };
     res.once("close", close);
     // A response queued behind another one gets no "close" event when the connection closes.
-    if (connection.openRequests > 1) connection.socket.once("close", close);
+    if (connection.openRequests > 1) connection.closeListeners.add(close);
   });
 };
