The idle time-out ends a connection also if bytes were read after its last response

Cause: found by reading. Since the idle time-out ended a connection only if nothing had been read since its last response. The rest of a body whose response came early, or a stray line end, is read after it; such a connection would never have been ended.

Change: with no open request the idle time-out ends it, as before. A further request's head that is half read falls under the header time-out.

--- a/src/proxy/client-connections.ts
+++ b/src/proxy/client-connections.ts
@@ -62,10 +62,13 @@
   readonly cutAll = (reason: CutReason): void =>
     this.bySocket.forEach((connection) => connection.cut(reason));
 
-  /** Ends a connection that has been idle for too long. */
+  /**
+   * Ends a connection on which nothing was open or read for the idle time-out. The rest of a body
+   * that was read after its response does not keep it open.
+   */
   readonly handleIdleTimeout = (socket: Socket): void => {
     const connection = this.forSocket(socket);
-    if (connection.isIdle) connection.end();
+    if (connection.openRequests === 0) connection.end();
   };
 
   /** Returns the connection of a socket, creating it when it is first seen. */
