Purges and read quorums have modules of their own beside the idempotency keys

Change: PurgeReplication and ReadQuorum moved out, time limits into one module. No behaviour changed.

--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -174,12 +174,14 @@
   "a purge of label {string} is acknowledged by controller {int}",
   async (label: string, number: number) => {
     assert.ok(
-      await withClock(current().member(`b${number}`).keys.purge({ host: "", path: "", label })),
+      await withClock(
+        current().member(`b${number}`).keys.purges.add({ host: "", path: "", label }),
+      ),
     );
   },
 );
 When("controller {int} reads the purges", async (number: number) => {
-  assert.ok(await withClock(current().member(`b${number}`).keys.readPurges()));
+  assert.ok(await withClock(current().member(`b${number}`).keys.purges.read()));
 });
 
 When(
@@ -200,8 +202,8 @@
 );
 Then("a purge through controller 1 is rejected, and accepted when it is sent again", async () => {
   const purge = { host: "", path: "", label: "t9" };
-  assert.equal(await withClock(current().member("b1").keys.purge(purge)), false);
-  assert.equal(await withClock(current().member("b1").keys.purge(purge)), true);
+  assert.equal(await withClock(current().member("b1").keys.purges.add(purge)), false);
+  assert.equal(await withClock(current().member("b1").keys.purges.add(purge)), true);
 });
 Then("the results are {string}", (kinds: string) =>
   assert.equal(history.map(({ result }) => result.kind).join(", "), kinds),
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -1,13 +1,11 @@
 /**
  * Replication of idempotency keys over the voter set: keys are claimed at a quorum, and responses
- * and purges are stored at a quorum.
+ * are stored at a quorum.
  */
-import { randomUUID } from "node:crypto";
 import { asString, readBoolean, readList, readString } from "../common/decode.js";
-import { MILLISECOND_US } from "../common/duration.js";
 import type { Logger } from "../common/logger.js";
 import type { ReplicatedStore } from "../consensus/replicated-store.js";
-import { quorumSize, readQuorumSize } from "../consensus/voter-set.js";
+import { quorumSize } from "../consensus/voter-set.js";
 import type { Message } from "../transport/connection.js";
 import {
   KEY_MESSAGE,
@@ -24,6 +22,9 @@
   type StoredResponse,
 } from "./key-codec.js";
 import type { IdempotencyKeyTable } from "./key-table.js";
+import { PurgeReplication } from "./purge-replication.js";
+import { ReadQuorum } from "./read-quorum.js";
+import { CLAIM_TIMEOUT_US, REFRESH_TIMEOUT_US, STORE_TIMEOUT_US } from "./timeouts.js";
 
 /** The result of a claim. Its `kind` is sent to the gateway. */
 export type KeyClaimResult =
@@ -54,9 +55,6 @@
   readonly onPurge: (purge: Purge) => void;
 }
 
-const CLAIM_TIMEOUT_US = 400 * MILLISECOND_US;
-const STORE_TIMEOUT_US = 250 * MILLISECOND_US;
-const REFRESH_TIMEOUT_US = 1_500 * MILLISECOND_US;
 /**
  * A body of at most this size is sent to all members at once, a larger one only to as many members
  * as form a quorum.
@@ -75,7 +73,15 @@
   private voting = false;
   private isCatchingUp = false;
 
-  constructor(private readonly options: IdempotencyKeyReplicationOptions) {}
+  /** The purges, which are stored in the same table and count under the same condition. */
+  readonly purges: PurgeReplication;
+  private readonly readQuorum: ReadQuorum;
+
+  constructor(private readonly options: IdempotencyKeyReplicationOptions) {
+    const isVoting = () => this.voting;
+    this.readQuorum = new ReadQuorum({ ...options, isVoting });
+    this.purges = new PurgeReplication({ ...options, isVoting, readQuorum: this.readQuorum });
+  }
 
   /** Whether this replica accepts claims and counts in quorums. */
   get isVoting(): boolean {
@@ -88,7 +94,7 @@
    */
   readonly start = async (firstRun: boolean): Promise<void> => {
     const found = await this.options.table.load();
-    this.options.table.purges().forEach(this.options.onPurge);
+    this.purges.publishAll();
     if (found) this.voting = true;
     else if (firstRun && this.options.store.isMember())
       this.voting = await this.options.table.markInitialized();
@@ -106,7 +112,7 @@
     this.isCatchingUp = false;
     if (!isRefreshed || !(await table.markInitialized())) return;
     this.voting = true;
-    table.purges().forEach(this.options.onPurge);
+    this.purges.publishAll();
     logger.info("caught up with idempotency keys", { keys: table.size });
   };
 
@@ -129,7 +135,7 @@
   private readonly refresh = async (): Promise<boolean> => {
     const { table } = this.options;
     const merges: Promise<boolean>[] = [];
-    const read = await this.gatherToRead({ kind: KEY_MESSAGE.readTable }, (reply) => {
+    const read = await this.readQuorum.gather({ kind: KEY_MESSAGE.readTable }, (reply) => {
       if (!readBoolean(reply, "counts")) return false;
       merges.push(table.merge(reply));
       return true;
@@ -219,36 +225,6 @@
     return this.isQuorum(stored);
   };
 
-  /** Makes a purge durable at a quorum; false if no quorum stored it in time. */
-  readonly purge = async (target: Omit<Purge, "id">): Promise<boolean> => {
-    const { store } = this.options;
-    const purge: Purge = { ...target, id: randomUUID() };
-    const stored = await store.callQuorum(
-      { kind: KEY_MESSAGE.addPurge, ...purge },
-      readStored,
-      () => this.addPurge(purge),
-      CLAIM_TIMEOUT_US,
-    );
-    return stored.isOk;
-  };
-
-  /**
-   * Reads the purges stored by a read quorum; true if every purge acknowledged before the call is
-   * now known here.
-   */
-  readonly readPurges = async (): Promise<boolean> => {
-    const { table } = this.options;
-    const ids = table.purges().map(({ id }) => id);
-    const merges: Promise<boolean>[] = [];
-    const read = await this.gatherToRead({ kind: KEY_MESSAGE.readPurges, ids }, (reply) => {
-      if (!readBoolean(reply, "counts")) return false;
-      merges.push(...readList(reply, "purges", readPurge).map(this.addPurge));
-      return true;
-    });
-    await Promise.all(merges);
-    return read;
-  };
-
   /**
    * Handles a message of another controller; returns undefined if it needs no response.
    *
@@ -276,9 +252,9 @@
         return packStored(this.voting && (await this.refresh()));
       }
       case KEY_MESSAGE.addPurge:
-        return packStored(await this.addPurge(readPurge(message)));
+        return packStored(await this.purges.addLocally(readPurge(message)));
       case KEY_MESSAGE.readPurges:
-        return this.respondWithPurges(readList(message, "ids", asString));
+        return this.purges.respond(readList(message, "ids", asString));
       case KEY_MESSAGE.readTable:
         return {
           kind: KEY_MESSAGE.response,
@@ -298,15 +274,6 @@
     };
   };
 
-  private readonly respondWithPurges = (knownIds: readonly string[]): Message => {
-    const known = new Set(knownIds);
-    return {
-      kind: KEY_MESSAGE.response,
-      counts: this.voting,
-      purges: this.options.table.purges().filter(({ id }) => !known.has(id)),
-    };
-  };
-
   private readonly completeLocally = async (message: Message): Promise<boolean> => {
     const answer = readStoredResponse(message["answer"]);
     if (!answer) return false;
@@ -332,14 +299,6 @@
       );
   };
 
-  private readonly addPurge = async (purge: Purge): Promise<boolean> => {
-    const { table, onPurge } = this.options;
-    const isNew = !table.hasPurge(purge.id);
-    const stored = table.addPurge(purge);
-    if (isNew) onPurge(purge);
-    return (await stored) && this.voting;
-  };
-
   /**
    * Fetches the response of a key that some replica reported as completed, from any replica that
    * has its body.
@@ -358,40 +317,4 @@
     ].find((answer) => answer?.body !== undefined);
     return found ? { kind: "done", answer: found } : { kind: "working" };
   };
-
-  /**
-   * Queries the other members until the accepted responses form a read quorum, which shares a
-   * member with every quorum. This replica counts as well if it votes.
-   */
-  private readonly gatherToRead = async (
-    message: Message,
-    accepts: (reply: Message) => boolean,
-  ): Promise<boolean> => {
-    const { self, store, request, withstandMachines } = this.options;
-    const sets = store.quorumSets();
-    const responded = new Set(this.voting ? [self] : []);
-    const others = store.members().filter((id) => id !== self);
-    if (others.length === 0 && responded.size === 0) return false;
-    const isReadQuorum = () =>
-      sets.every(
-        (members) =>
-          members.filter((id) => responded.has(id)).length >=
-          readQuorumSize(members, withstandMachines),
-      );
-    return new Promise((resolve) => {
-      let pending = others.length;
-      const resolveIfDecided = () => {
-        if (isReadQuorum()) resolve(true);
-        else if (pending === 0) resolve(false);
-      };
-      others.forEach((id) => {
-        void request(id, store.withVoterSet(message), CLAIM_TIMEOUT_US).then((reply) => {
-          pending -= 1;
-          if (reply && accepts(reply)) responded.add(id);
-          resolveIfDecided();
-        });
-      });
-      resolveIfDecided();
-    });
-  };
 }
--- /dev/null
+++ b/src/idempotency/purge-replication.ts
@@ -0,0 +1,78 @@
+/** Replication of purges over the voter set: a purge is stored at a quorum, and read from one. */
+import { randomUUID } from "node:crypto";
+import { readBoolean, readList } from "../common/decode.js";
+import type { ReplicatedStore } from "../consensus/replicated-store.js";
+import type { Message } from "../transport/connection.js";
+import { KEY_MESSAGE, readPurge, readStored, type Purge } from "./key-codec.js";
+import type { IdempotencyKeyTable } from "./key-table.js";
+import type { ReadQuorum } from "./read-quorum.js";
+import { CLAIM_TIMEOUT_US } from "./timeouts.js";
+
+/** Dependencies of {@link PurgeReplication}. */
+export interface PurgeReplicationOptions {
+  readonly table: IdempotencyKeyTable;
+  readonly store: ReplicatedStore;
+  readonly readQuorum: ReadQuorum;
+  /** Whether this replica counts in quorums. */
+  readonly isVoting: () => boolean;
+  /** Called for each purge that is new to this replica. */
+  readonly onPurge: (purge: Purge) => void;
+}
+
+/** Stores purges at a quorum and reads them from one. */
+export class PurgeReplication {
+  constructor(private readonly options: PurgeReplicationOptions) {}
+
+  /** Reports every purge of this replica to `onPurge`. */
+  readonly publishAll = (): void =>
+    this.options.table.purges().forEach((purge) => this.options.onPurge(purge));
+
+  /** Makes a purge durable at a quorum; false if no quorum stored it in time. */
+  readonly add = async (target: Omit<Purge, "id">): Promise<boolean> => {
+    const { store } = this.options;
+    const purge: Purge = { ...target, id: randomUUID() };
+    const stored = await store.callQuorum(
+      { kind: KEY_MESSAGE.addPurge, ...purge },
+      readStored,
+      () => this.addLocally(purge),
+      CLAIM_TIMEOUT_US,
+    );
+    return stored.isOk;
+  };
+
+  /**
+   * Reads the purges stored by a read quorum; true if every purge acknowledged before the call is
+   * now known here.
+   */
+  readonly read = async (): Promise<boolean> => {
+    const { table, readQuorum } = this.options;
+    const ids = table.purges().map(({ id }) => id);
+    const merges: Promise<boolean>[] = [];
+    const read = await readQuorum.gather({ kind: KEY_MESSAGE.readPurges, ids }, (reply) => {
+      if (!readBoolean(reply, "counts")) return false;
+      merges.push(...readList(reply, "purges", readPurge).map(this.addLocally));
+      return true;
+    });
+    await Promise.all(merges);
+    return read;
+  };
+
+  /** Responds with the purges that the requester does not know. */
+  readonly respond = (knownIds: readonly string[]): Message => {
+    const known = new Set(knownIds);
+    return {
+      kind: KEY_MESSAGE.response,
+      counts: this.options.isVoting(),
+      purges: this.options.table.purges().filter(({ id }) => !known.has(id)),
+    };
+  };
+
+  /** Stores a purge at this replica; true if it is durable and this replica counts. */
+  readonly addLocally = async (purge: Purge): Promise<boolean> => {
+    const { table, onPurge } = this.options;
+    const isNew = !table.hasPurge(purge.id);
+    const stored = table.addPurge(purge);
+    if (isNew) onPurge(purge);
+    return (await stored) && this.options.isVoting();
+  };
+}
--- a/src/programs/controller/content.ts
+++ b/src/programs/controller/content.ts
@@ -153,7 +153,7 @@
     if (isReading) return;
     isReading = true;
     const startedUs = clock.nowUs();
-    if ((await keys.readPurges()) && keys.isVoting)
+    if ((await keys.purges.read()) && keys.isVoting)
       publisher.sendFreshness(clock.nowUs() - startedUs);
     isReading = false;
   };
@@ -193,7 +193,7 @@
     peerHandlers: { [PEER_REQUEST.leaseRate]: rates.leaseAsLeader },
     peerFallback: keys.handleRequest,
     queries: { keys: describeKeys, goods: () => [...cacheStatus.values()] },
-    purge: keys.purge,
+    purge: keys.purges.add,
     copyToNewMembers: keys.replicateToNewMembers,
     start: () => keys.start(settings.firstRun),
     close: () => {
