Controllers count claims by result and responses by body, and log what can't be returned

A refusal said neither whether a replica knew the response nor why its body was not returned: time-outs, members without a vote, lost claims and lost bodies looked alike.

Change: metrics yewreel_key_claims by result and yewreel_key_responses by body, the same in ctl keys, and a warning where no replica returns the response of a completed key, with how many members were asked, answered, and knew the response without its body.

--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -55,6 +55,11 @@
   readonly onPurge: (purge: Purge) => void;
 }
 
+/**
+ * Results by which claims are counted. `responseMissing` counts those whose key is completed but
+ * whose response no replica returned, in addition to the result that was given.
+ */
+const CLAIM_RESULTS = ["won", "done", "working", "split", "none", "responseMissing"] as const;
 /**
  * A body of at most this size is sent to all members at once, a larger one only to as many members
  * as form a quorum.
@@ -72,6 +77,7 @@
 export class IdempotencyKeyReplication {
   private voting = false;
   private isCatchingUp = false;
+  private readonly claimCounts = new Map<KeyClaimResult["kind"] | "responseMissing", number>();
 
   /** The purges, which are stored in the same table and count under the same condition. */
   readonly purges: PurgeReplication;
@@ -143,8 +149,22 @@
     return (await Promise.all(merges)).every((done) => done) && read;
   };
 
+  /** Claims made through this replica since the start of the process, by result. */
+  readonly claimsByResult = (): readonly (readonly [result: string, count: number])[] =>
+    CLAIM_RESULTS.map((result) => [result, this.claimCounts.get(result) ?? 0]);
+
   /** Claims a key for a token at a quorum. */
   readonly claim = async (key: string, token: string): Promise<KeyClaimResult> => {
+    const result = await this.decideClaim(key, token);
+    this.count(result.kind);
+    return result;
+  };
+
+  private readonly count = (result: (typeof CLAIM_RESULTS)[number]): void => {
+    this.claimCounts.set(result, (this.claimCounts.get(result) ?? 0) + 1);
+  };
+
+  private readonly decideClaim = async (key: string, token: string): Promise<KeyClaimResult> => {
     const { self, table, store, withstandMachines } = this.options;
     const known = table.findResponse(key);
     if (known?.body && table.findToken(key) !== token) return { kind: "done", answer: known };
@@ -304,7 +324,7 @@
    * has its body.
    */
   private readonly fetchResponse = async (key: string): Promise<KeyClaimResult> => {
-    const { self, table, store, request } = this.options;
+    const { self, table, store, request, logger } = this.options;
     const replies = await Promise.all(
       store
         .members()
@@ -315,6 +335,13 @@
       table.findResponse(key),
       ...replies.map((reply) => readStoredResponse(reply?.["answer"])),
     ].find((answer) => answer?.body !== undefined);
-    return found ? { kind: "done", answer: found } : { kind: "working" };
+    if (found) return { kind: "done", answer: found };
+    this.count("responseMissing");
+    logger.warn("no replica returned the response of a completed key", {
+      asked: replies.length,
+      answered: replies.filter((reply) => reply !== undefined).length,
+      withoutBody: replies.filter((reply) => reply?.["answer"] !== undefined).length,
+    });
+    return { kind: "working" };
   };
 }
--- a/src/idempotency/key-table.ts
+++ b/src/idempotency/key-table.ts
@@ -78,6 +78,13 @@
     return this.entries.size;
   }
 
+  /** Number of keys whose response is known here, with its body and without. */
+  get responseCounts(): { readonly withBody: number; readonly withoutBody: number } {
+    const answers = [...this.entries.values()].flatMap(({ answer }) => answer ?? []);
+    const withBody = answers.filter(({ body }) => body !== undefined).length;
+    return { withBody, withoutBody: answers.length - withBody };
+  }
+
   get sizeBytes(): number {
     return this.segments.sizeBytes;
   }
--- a/src/programs/controller/content.ts
+++ b/src/programs/controller/content.ts
@@ -23,6 +23,7 @@
 import type { Message } from "../../transport/connection.js";
 import type { Consensus } from "./consensus.js";
 import type { QueryHandlers } from "./fleet-queries.js";
+import type { Metric } from "../metrics-server.js";
 import type { MessageHandler, MessageHandlers } from "./message-dispatcher.js";
 import { NODE_REPLY, NODE_REPORT, NODE_REQUEST } from "./node-messages.js";
 import { PEER_REPLY, PEER_REQUEST } from "./peer-messages.js";
@@ -52,6 +53,7 @@
   /** Handles messages from peers about idempotency keys and purges. */
   readonly peerFallback: MessageHandler;
   readonly queries: QueryHandlers;
+  readonly metrics: readonly Metric[];
   /** Persists a purge on a quorum and distributes it; false if no quorum stored it. */
   readonly purge: (target: PurgeTarget) => Promise<boolean>;
   /** Copies keys and purges from the old voters to the new ones; true once complete. */
@@ -159,6 +161,28 @@
   };
 };
 
+const keyMetrics = (
+  keys: IdempotencyKeyReplication,
+  table: IdempotencyKeyTable,
+): readonly Metric[] => [
+  {
+    name: "yewreel_key_claims",
+    help: "Claims of idempotency keys through this controller, by result.",
+    read: () => keys.claimsByResult().map(([result, value]) => ({ labels: { result }, value })),
+  },
+  {
+    name: "yewreel_key_responses",
+    help: "Stored responses of idempotency keys, by whether this replica has the body.",
+    read: () => {
+      const { withBody, withoutBody } = table.responseCounts;
+      return [
+        { labels: { body: "stored" }, value: withBody },
+        { labels: { body: "missing" }, value: withoutBody },
+      ];
+    },
+  },
+];
+
 /** Creates the subsystem and starts its periodic tasks. */
 export const openContent = (options: ContentOptions): Content => {
   const { settings, clock, sessions, updates } = options;
@@ -184,6 +208,7 @@
   );
   const describeKeys = (): UnknownRecord => ({
     keys: table.size,
+    responses: table.responseCounts,
     bytes: table.sizeBytes,
     purges: table.purges().length,
     counting: keys.isVoting,
@@ -193,6 +218,7 @@
     peerHandlers: { [PEER_REQUEST.leaseRate]: rates.leaseAsLeader },
     peerFallback: keys.handleRequest,
     queries: { keys: describeKeys, goods: () => [...cacheStatus.values()] },
+    metrics: keyMetrics(keys, table),
     purge: keys.purges.add,
     copyToNewMembers: keys.replicateToNewMembers,
     start: () => keys.start(settings.firstRun),
--- a/src/programs/controller/controller.ts
+++ b/src/programs/controller/controller.ts
@@ -188,11 +188,14 @@
   log.info("controller started", { address: settings.control });
 
   return {
-    metrics: controllerMetrics({
-      ...subsystems,
-      sessions: nodes.sessions,
-      freshness: subsystems.quorum.freshness,
-    }),
+    metrics: [
+      ...controllerMetrics({
+        ...subsystems,
+        sessions: nodes.sessions,
+        freshness: subsystems.quorum.freshness,
+      }),
+      ...(content?.metrics ?? []),
+    ],
     applySettings: ({ seedNodes }) => peers.learn(seedNodes),
     stop: async () => {
       log.info("controller stopping", { address: settings.control });
