Replicas copy the bodies of responses that they must hold and lack, so lost disks lose no answer

Cause: a body of more than 256 bytes was stored at a quorum only, and a replica that came back without its disk got the keys of the others without their bodies. Nothing ever copied a body again, so each loss took copies that were counted as there. Once the last one was gone, the answer "working" was given, although no replica knew of anything at work.

Change: every replica derives the withstand + 1 holders of a body alike, by rendezvous hashing over the voter set. An answer is acknowledged once its body is durable at that many members, and the fact that it has completed at a quorum. Each replica reads from each other one the keys stored there since it last asked (positions in a log of changes), and fetches the bodies that it must hold: in pages of 128 KB, at most 0.6 of its link, latest first, not while its log is nearly full. A failed request or another voter set starts the comparison anew. A member that leaves is let go once the others have the bodies that it held. The table of claims is copied in pages too, with the age of each claim. A response that can't be fetched is refused with 503 and Retry-After (metric and outcome of its own); "working" is no longer said of an operation that has completed. A claim that lost does not stop the winner's response from being stored, and a response that comes again without its body does not erase the body. Controllers of the version before get the table in one message, and ignore the new requests.

Why it works: whatever holder is lost, it holds every body that belongs to it again once it is caught up; so of withstand + 1 holders at most withstand lack one at any time.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -104,3 +104,29 @@
     When the controllers have had time to catch up
     And attempt "two" claims key "k" through controller 1
     Then the last result is "working"
+
+  # Guards against a controller that gets the keys back after losing its disk, but not the bodies
+  # of their responses: later losses, each within the limit, then took the last body.
+  Scenario Outline: Stored responses survive disks that are lost one after the other, each after catching up
+    Given <controllers> controllers that must withstand the loss of 2, all of them voters
+    When 20 keys get responses of <bytes> bytes
+    And controllers <first> and <second> lose their disks and restart
+    And 6 s pass, in which the controllers do their periodic work
+    And controller <third> loses its disk and restarts
+    And 6 s pass, in which the controllers do their periodic work
+    Then every controller returns the response of every key
+
+    Examples:
+      | controllers | bytes | first | second | third |
+      | 4           | 1500  | 1     | 2      | 3     |
+      | 4           | 200   | 2     | 3      | 1     |
+      | 5           | 9000  | 1     | 2      | 3     |
+      | 5           | 1500  | 4     | 5      | 2     |
+
+  Scenario: No random choice of lost disks within the limit loses a stored response
+    When 30 seeds of disks lost in turn are run with the repair
+    Then no stored response is lost
+
+  Scenario: Without the repair of responses, disks lost in turn lose stored responses
+    When 5 seeds of disks lost in turn are run without the repair
+    Then stored responses are lost
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { KeyClaimResult } from "../../src/idempotency/key-replication.js";
+import { DiskLossRun } from "../support/disk-loss-run.js";
 import { ReplicaCluster } from "../support/replica-cluster.js";
 
 interface Attempt {
@@ -16,6 +17,9 @@
 let cluster: ReplicaCluster | undefined;
 /** All claims, in the order in which they completed. */
 let history: Attempt[] = [];
+/** The bodies of the responses that were acknowledged as stored, by key. */
+const storedBodies = new Map<string, Buffer>();
+const seedsWithViolations: string[] = [];
 
 const current = (): ReplicaCluster => {
   if (!cluster) throw new Error("no controllers were started");
@@ -64,6 +68,8 @@
 After(async () => {
   await cluster?.removeAll();
   cluster = undefined;
+  storedBodies.clear();
+  seedsWithViolations.length = 0;
 });
 
 Given(
@@ -108,7 +114,7 @@
     const isStored = await withClock(
       current()
         .member(`b${number}`)
-        .keys.complete("k", name, {
+        .keys.responses.store("k", name, {
           status: 200,
           heads: ["Yewreel-Server-Seal", "s"],
           body: Buffer.from(body),
@@ -128,6 +134,44 @@
     await restart(ids);
   },
 );
+When("{int} keys get responses of {int} bytes", async (count: number, bytes: number) => {
+  for (let at = 0; at < count; at += 1) {
+    const key = `key-${at}`;
+    const { keys } = current().member(current().ids[at % current().ids.length] ?? "");
+    assert.equal((await withClock(keys.claim(key, "first"))).kind, "won");
+    const body = Buffer.alloc(bytes, key);
+    assert.ok(
+      await withClock(keys.responses.store(key, "first", { status: 200, heads: [], body })),
+    );
+    storedBodies.set(key, body);
+  }
+});
+When("controller {int} loses its disk and restarts", async (number: number) => {
+  await current().wipe(`b${number}`);
+  await restart([`b${number}`]);
+});
+When("{int} s pass, in which the controllers do their periodic work", (seconds: number) =>
+  current().runBackground(seconds * 1_000_000),
+);
+Then("every controller returns the response of every key", async () => {
+  for (const [key, body] of storedBodies)
+    for (const id of current().ids) {
+      const result = await withClock(current().member(id).keys.claim(key, `repeat at ${id}`));
+      if (result.kind !== "done") assert.fail(`${key} at ${id}: ${result.kind}`);
+      assert.deepEqual(Buffer.from(result.answer.body ?? []), body);
+    }
+});
+When(
+  "{int} seeds of disks lost in turn are run {word} the repair",
+  async (count: number, withOrWithout: string) => {
+    for (let seed = 1; seed <= count; seed += 1) {
+      const { violations } = await new DiskLossRun(seed, withOrWithout === "with").run();
+      seedsWithViolations.push(...(violations.length > 0 ? [`${seed}: ${violations[0]}`] : []));
+    }
+  },
+);
+Then("no stored response is lost", () => assert.deepEqual(seedsWithViolations, []));
+Then("stored responses are lost", () => assert.notDeepEqual(seedsWithViolations, []));
 When("the controllers have had time to catch up", catchUp);
 When("all controllers are killed and restarted", async () => {
   await current().killAll();
--- a/features/support/golden.ts
+++ b/features/support/golden.ts
@@ -98,7 +98,7 @@
   await cluster.withClock(a.store.confirmQuorum());
   await cluster.withClock(a.keys.claim("key 1", "token 1"));
   await cluster.withClock(
-    a.keys.complete("key 1", "token 1", {
+    a.keys.responses.store("key 1", "token 1", {
       status: 200,
       heads: ["X-A", "b"],
       body: Buffer.from("answered"),
--- a/features/support/replica-cluster.ts
+++ b/features/support/replica-cluster.ts
@@ -28,6 +28,10 @@
 }
 
 export const STATE_FOLDER = "/state";
+/** How often a controller looks whether it has to catch up. */
+const BACKGROUND_PERIOD_US = 300_000;
+/** Rate of each controller's link. */
+const LINK_MBPS = 100;
 export const KEY_WINDOW_US = 60_000_000;
 
 /**
@@ -42,6 +46,8 @@
   readonly running = new Map<string, ClusterMember>();
   private readonly folders = new Map<string, string>();
   private readonly disks = new Map<string, MemoryDisk>();
+  /** Whether the controllers copy response bodies that they lack. */
+  repairsResponses = true;
   private seed = 1;
 
   constructor(
@@ -111,6 +117,8 @@
       isConnected: (to) => this.isReachable(id, to),
       send: transport.broadcast,
       withstandMachines: this.withstandMachines,
+      clock: this.clock,
+      linkMbps: LINK_MBPS,
       logger: silentLogger,
       onPurge: (purge) => learnedPurges.push(purge),
     });
@@ -152,6 +160,19 @@
     await this.readAll();
   };
 
+  /** Advances the clock while every controller does its periodic work. */
+  readonly runBackground = async (durationUs: number): Promise<void> => {
+    const untilUs = this.clock.nowUs() + durationUs;
+    while (this.clock.nowUs() < untilUs) {
+      for (const { store, keys } of [...this.running.values()]) {
+        if (!store.isVoting || !store.isMember()) await this.withClock(store.read());
+        void keys.catchUp();
+        if (this.repairsResponses) keys.repair.runIfDue();
+      }
+      await this.clock.pass(BACKGROUND_PERIOD_US);
+    }
+  };
+
   /** Reads twice, because the first read may only tell a new replica which voters to ask. */
   readonly readAll = async (): Promise<void> => {
     for (const id of [...this.running.keys(), ...this.running.keys()])
--- a/src/common/http-outcomes.ts
+++ b/src/common/http-outcomes.ts
@@ -50,6 +50,7 @@
   full: outcome(503, "full", true),
   noRate: outcome(503, "the origin's rate is spent", true),
   adrift: outcome(503, "cut off from the majority", true),
+  responseUnavailable: outcome(503, "the stored answer can't be fetched now", true),
   noQuorum: outcome(503, "no quorum", true),
   noMajority: outcome(503, "no majority", true),
   slowHead: outcome(408, "the head took too long", false, true),
--- a/src/idempotency/key-client.ts
+++ b/src/idempotency/key-client.ts
@@ -19,10 +19,12 @@
 export type ClaimResult =
   | { readonly kind: "won" }
   | { readonly kind: "done"; readonly answer: KeyedResponse }
+  | { readonly kind: "unavailable" }
   | { readonly kind: "working" }
   | { readonly kind: "split" }
   | { readonly kind: "none" };
 
+const RESULTS_WITHOUT_RESPONSE = ["won", "unavailable", "working", "split"] as const;
 const CLAIM_TIMEOUT_US = 600 * MILLISECOND_US;
 const STORE_TIMEOUT_US = 400 * MILLISECOND_US;
 const RETRY_DELAY_US = 100 * MILLISECOND_US;
@@ -51,9 +53,7 @@
     const result = reply?.["verdict"];
     if (result === "done" && isRecord(reply?.["answer"]))
       return { kind: "done", answer: readResponse(reply["answer"]) };
-    return {
-      kind: result === "won" || result === "working" || result === "split" ? result : "none",
-    };
+    return { kind: RESULTS_WITHOUT_RESPONSE.find((kind) => kind === result) ?? "none" };
   };
 
   /** Releases a token whose operation has not run; the token must never be used again. */
--- a/src/idempotency/key-codec.ts
+++ b/src/idempotency/key-codec.ts
@@ -7,6 +7,7 @@
   asRecord,
   asString,
   isRecord,
+  readBoolean,
   readList,
   readNumber,
   readString,
@@ -21,6 +22,10 @@
   release: "key-free",
   readResponse: "key-read",
   readTable: "key-book",
+  /** Asks for the keys whose bodies the requester must hold, by pages. */
+  listResponses: "key-index",
+  /** Asks for responses with their bodies. */
+  readResponses: "key-bodies",
   refresh: "key-refresh",
   addPurge: "key-purge",
   readPurges: "key-purges",
@@ -96,6 +101,97 @@
   ...(body ? { body } : {}),
 });
 
+/** One key of a table as another replica copies it. */
+export interface KeyRow extends KeyClaim {
+  /** Time since the claim, in microseconds. */
+  readonly ageUs: number;
+  readonly answer: StoredResponse | undefined;
+}
+
+/** Where a replica stands in the changes of another one's table. */
+export interface TablePosition {
+  /** Identifies the sequence of changes that `after` refers to. */
+  readonly feed: string;
+  readonly after: number;
+}
+
+/** Position of a replica that has read nothing yet. */
+export const TABLE_START: TablePosition = { feed: "", after: 0 };
+
+/** A request for the keys whose bodies `holder` must hold. */
+export interface ListResponsesRequest {
+  readonly position: TablePosition;
+  readonly holder: string;
+  /** The members among which bodies are placed. */
+  readonly members: readonly string[];
+}
+
+/** Part of a table or of an index, and where the next part begins. */
+export interface PageEnd {
+  readonly position: TablePosition;
+  readonly isLast: boolean;
+}
+
+/** Packs a row, with the body of its response if the row has it. */
+export const packKeyRow = ({ key, token, ageUs, answer }: KeyRow): UnknownRecord => ({
+  key,
+  token,
+  ageUs,
+  ...(answer ? { answer: packStoredResponse(answer) } : {}),
+});
+
+/** @throws DecodeError if a field is missing or has the wrong type */
+export const readKeyRow = (value: unknown): KeyRow => {
+  const fields = asRecord(value, "key row");
+  return {
+    ...readKeyClaim(fields),
+    ageUs: readNumber(fields, "ageUs"),
+    answer: readStoredResponse(fields["answer"]),
+  };
+};
+
+/** Packs a position into the fields of a request or a response. */
+export const packPosition = ({ feed, after }: TablePosition): UnknownRecord => ({ feed, after });
+
+/** Reads a position; undefined if the sender, of an earlier version, gave none. */
+export const readPosition = (message: Message): TablePosition | undefined =>
+  message["feed"] === undefined
+    ? undefined
+    : { feed: readString(message, "feed"), after: readNumber(message, "after") };
+
+/** Packs the end of a page into the fields of a response. */
+export const packPageEnd = ({ position, isLast }: PageEnd): UnknownRecord => ({
+  ...packPosition(position),
+  last: isLast,
+});
+
+/** Reads the end of a page. A replica of an earlier version sends its table in one page. */
+export const readPageEnd = (message: Message): PageEnd => {
+  const position = readPosition(message);
+  return position
+    ? { position, isLast: readBoolean(message, "last") }
+    : { position: TABLE_START, isLast: true };
+};
+
+/** Packs a request for the keys whose bodies a member must hold. */
+export const packListResponses = ({
+  position,
+  holder,
+  members,
+}: ListResponsesRequest): Message => ({
+  kind: KEY_MESSAGE.listResponses,
+  ...packPosition(position),
+  holder,
+  members,
+});
+
+/** @throws DecodeError if a field is missing or has the wrong type */
+export const readListResponses = (message: Message): ListResponsesRequest => ({
+  position: readPosition(message) ?? TABLE_START,
+  holder: readString(message, "holder"),
+  members: readList(message, "members", asString),
+});
+
 /** Reads a purge from a message, a list item or a record on disk. */
 export const readPurge = (value: unknown): Purge => {
   const fields = asRecord(value, "purge");
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -2,7 +2,8 @@
  * Replication of idempotency keys over the voter set: keys are claimed at a quorum, and responses
  * are stored at a quorum.
  */
-import { asString, readBoolean, readList, readString } from "../common/decode.js";
+import { asString, readBoolean, readList } from "../common/decode.js";
+import type { Clock } from "../common/clock.js";
 import type { Logger } from "../common/logger.js";
 import type { ReplicatedStore } from "../consensus/replicated-store.js";
 import { quorumSize } from "../consensus/voter-set.js";
@@ -10,27 +11,33 @@
 import {
   KEY_MESSAGE,
   packClaimResponse,
+  packPosition,
   packStored,
-  packStoredResponse,
   readClaimResponse,
   readKeyClaim,
+  readPageEnd,
   readPurge,
   readStored,
-  readStoredResponse,
+  TABLE_START,
   type ClaimResponse,
   type Purge,
   type StoredResponse,
 } from "./key-codec.js";
+import { KeyTableSource } from "./key-table-source.js";
 import type { IdempotencyKeyTable } from "./key-table.js";
 import { PurgeReplication } from "./purge-replication.js";
 import { ReadQuorum } from "./read-quorum.js";
-import { CLAIM_TIMEOUT_US, REFRESH_TIMEOUT_US, STORE_TIMEOUT_US } from "./timeouts.js";
+import { ResponseRepair } from "./response-repair.js";
+import { ResponseReplication } from "./response-replication.js";
+import { CLAIM_TIMEOUT_US, REFRESH_TIMEOUT_US } from "./timeouts.js";
 
 /** The result of a claim. Its `kind` is sent to the gateway. */
 export type KeyClaimResult =
   /** A quorum holds the token: only its holder may run the operation. */
   | { readonly kind: "won" }
   | { readonly kind: "done"; readonly answer: StoredResponse }
+  /** The operation has completed, but no replica returned its response in time. */
+  | { readonly kind: "unavailable" }
   /** Another attempt holds the key and may have run the operation. */
   | { readonly kind: "working" }
   /**
@@ -41,6 +48,9 @@
   /** Too few replicas responded. */
   | { readonly kind: "none" };
 
+/** Handles a message of another controller; returns undefined if it needs no response. */
+type KeyRequestHandler = (message: Message) => Promise<Message | undefined> | Message | undefined;
+
 /** Dependencies of {@link IdempotencyKeyReplication}. */
 export interface IdempotencyKeyReplicationOptions {
   readonly self: string;
@@ -53,19 +63,12 @@
   readonly logger: Logger;
   /** Called for each purge that is new to this replica. */
   readonly onPurge: (purge: Purge) => void;
+  readonly clock: Clock;
+  /** Rate of this machine's link; 0 if unknown. */
+  readonly linkMbps: number;
 }
 
-/**
- * Results by which claims are counted. `responseMissing` counts those whose key is completed but
- * whose response no replica returned, in addition to the result that was given.
- */
-const CLAIM_RESULTS = ["won", "done", "working", "split", "none", "responseMissing"] as const;
-/**
- * A body of at most this size is sent to all members at once, a larger one only to as many members
- * as form a quorum.
- */
-const SMALL_BODY_BYTES = 256;
-
+const CLAIM_RESULTS = ["won", "done", "unavailable", "working", "split", "none"] as const;
 /**
  * Decides by quorum which attempt may run the operation of a key, and stores the response of that
  * run.
@@ -77,16 +80,36 @@
 export class IdempotencyKeyReplication {
   private voting = false;
   private isCatchingUp = false;
-  private readonly claimCounts = new Map<KeyClaimResult["kind"] | "responseMissing", number>();
+  private readonly claimCounts = new Map<KeyClaimResult["kind"], number>();
 
   /** The purges, which are stored in the same table and count under the same condition. */
   readonly purges: PurgeReplication;
+  readonly responses: ResponseReplication;
+  readonly repair: ResponseRepair;
+  private readonly handlers: Readonly<Record<string, KeyRequestHandler>>;
   private readonly readQuorum: ReadQuorum;
 
   constructor(private readonly options: IdempotencyKeyReplicationOptions) {
     const isVoting = () => this.voting;
     this.readQuorum = new ReadQuorum({ ...options, isVoting });
+    this.responses = new ResponseReplication({ ...options, isVoting });
+    this.repair = new ResponseRepair(options);
     this.purges = new PurgeReplication({ ...options, isVoting, readQuorum: this.readQuorum });
+    const source = new KeyTableSource({ ...options, isVoting });
+    this.handlers = {
+      [KEY_MESSAGE.claim]: this.handleClaim,
+      [KEY_MESSAGE.release]: this.handleRelease,
+      [KEY_MESSAGE.complete]: this.responses.handleStore,
+      [KEY_MESSAGE.readResponse]: this.responses.handleFetch,
+      [KEY_MESSAGE.refresh]: this.handleRefresh,
+      [KEY_MESSAGE.addPurge]: async (message) =>
+        packStored(await this.purges.addLocally(readPurge(message))),
+      [KEY_MESSAGE.readPurges]: (message) =>
+        this.purges.respond(readList(message, "ids", asString)),
+      [KEY_MESSAGE.readTable]: source.readTable,
+      [KEY_MESSAGE.listResponses]: source.listResponses,
+      [KEY_MESSAGE.readResponses]: source.readResponses,
+    };
   }
 
   /** Whether this replica accepts claims and counts in quorums. */
@@ -131,22 +154,42 @@
     const refreshed = await store.callQuorum(
       { kind: KEY_MESSAGE.refresh },
       readStored,
-      this.refresh,
+      this.refreshWithBodies,
       REFRESH_TIMEOUT_US,
     );
     return refreshed.isOk;
   };
 
-  /** Merges the tables of a read quorum into this one; true if all of the data is durable here. */
-  private readonly refresh = async (): Promise<boolean> => {
-    const { table } = this.options;
-    const merges: Promise<boolean>[] = [];
-    const read = await this.readQuorum.gather({ kind: KEY_MESSAGE.readTable }, (reply) => {
-      if (!readBoolean(reply, "counts")) return false;
-      merges.push(table.merge(reply));
-      return true;
-    });
-    return (await Promise.all(merges)).every((done) => done) && read;
+  /**
+   * Copies the tables of a read quorum, and the bodies held by members that leave the voter set;
+   * true if all of that is durable here.
+   */
+  private readonly refreshWithBodies = async (): Promise<boolean> => {
+    const { store, isConnected } = this.options;
+    if (!(await this.refresh())) return false;
+    const { from, members } = store.voterSet();
+    const leaving = from.filter((id) => !members.includes(id) && isConnected(id));
+    if (leaving.length === 0) return true;
+    const copied = await this.repair.run();
+    return leaving.every((id) => copied.has(id));
+  };
+
+  /** Copies the tables of a read quorum into this one; true if all of the data is durable here. */
+  private readonly refresh = (): Promise<boolean> => this.readQuorum.gather(this.copyTableOf);
+
+  /** Copies the table of a member page by page; false if it does not respond or does not vote. */
+  private readonly copyTableOf = async (id: string): Promise<boolean> => {
+    const { table, store, request } = this.options;
+    let position = TABLE_START;
+    for (;;) {
+      const message = { kind: KEY_MESSAGE.readTable, ...packPosition(position) };
+      const reply = await request(id, store.withVoterSet(message), CLAIM_TIMEOUT_US);
+      if (!reply || !readBoolean(reply, "counts")) return false;
+      if (!(await table.merge(reply))) return false;
+      const end = readPageEnd(reply);
+      if (end.isLast) return true;
+      position = end.position;
+    }
   };
 
   /** Claims made through this replica since the start of the process, by result. */
@@ -160,14 +203,14 @@
     return result;
   };
 
-  private readonly count = (result: (typeof CLAIM_RESULTS)[number]): void => {
+  private readonly count = (result: KeyClaimResult["kind"]): void => {
     this.claimCounts.set(result, (this.claimCounts.get(result) ?? 0) + 1);
   };
 
   private readonly decideClaim = async (key: string, token: string): Promise<KeyClaimResult> => {
     const { self, table, store, withstandMachines } = this.options;
     const known = table.findResponse(key);
-    if (known?.body && table.findToken(key) !== token) return { kind: "done", answer: known };
+    if (known && table.findToken(key) !== token) return this.fetchResponse(key);
     const claimedBy = new Set<string>();
     let otherTokenCount = 0;
     let isCompleted = known !== undefined;
@@ -204,47 +247,6 @@
     this.options.send({ kind: KEY_MESSAGE.release, key, token });
   };
 
-  /**
-   * Stores the response with its body at a quorum, and without the body at the other members; false
-   * if no quorum stored it in time.
-   */
-  readonly complete = async (
-    key: string,
-    token: string,
-    answer: StoredResponse,
-  ): Promise<boolean> => {
-    const { self, table, store, request, isConnected, withstandMachines } = this.options;
-    const others = store
-      .members()
-      .filter((id) => id !== self)
-      .sort((a, b) => Number(isConnected(b)) - Number(isConnected(a)));
-    const messageWith = (response: StoredResponse): Message => ({
-      kind: KEY_MESSAGE.complete,
-      key,
-      token,
-      answer: packStoredResponse(response),
-    });
-    const full = messageWith(answer);
-    const withoutBody = messageWith({ ...answer, body: undefined });
-    const isSmall = (answer.body?.length ?? 0) <= SMALL_BODY_BYTES;
-    const stored = new Set<string>();
-    const storeAt = async (id: string): Promise<void> => {
-      if (readStored(await request(id, store.withVoterSet(full), STORE_TIMEOUT_US))) stored.add(id);
-    };
-    const first = isSmall
-      ? others
-      : others.slice(0, quorumSize(store.members(), withstandMachines) - 1);
-    const rest = others.filter((id) => !first.includes(id));
-    if (await table.complete(key, token, answer)) stored.add(self);
-    await Promise.all(first.map(storeAt));
-    if (this.isQuorum(stored)) {
-      rest.forEach((id) => void request(id, withoutBody, 0));
-      return true;
-    }
-    await Promise.all(rest.map(storeAt));
-    return this.isQuorum(stored);
-  };
-
   /**
    * Handles a message of another controller; returns undefined if it needs no response.
    *
@@ -252,53 +254,22 @@
    */
   readonly handleRequest = async (message: Message): Promise<Message | undefined> => {
     const rejection = this.options.store.rejectIfOutdated(message);
-    if (rejection) return rejection;
-    switch (message.kind) {
-      case KEY_MESSAGE.claim: {
-        const { key, token } = readKeyClaim(message);
-        return packClaimResponse(await this.claimLocally(key, token));
-      }
-      case KEY_MESSAGE.release: {
-        const { key, token } = readKeyClaim(message);
-        this.options.table.release(key, token);
-        return undefined;
-      }
-      case KEY_MESSAGE.complete:
-        return packStored(await this.completeLocally(message));
-      case KEY_MESSAGE.readResponse:
-        return this.respondWithResponse(readString(message, "key"));
-      case KEY_MESSAGE.refresh: {
-        await this.catchUp();
-        return packStored(this.voting && (await this.refresh()));
-      }
-      case KEY_MESSAGE.addPurge:
-        return packStored(await this.purges.addLocally(readPurge(message)));
-      case KEY_MESSAGE.readPurges:
-        return this.purges.respond(readList(message, "ids", asString));
-      case KEY_MESSAGE.readTable:
-        return {
-          kind: KEY_MESSAGE.response,
-          counts: this.voting,
-          ...this.options.table.pack(),
-        };
-      default:
-        return undefined;
-    }
+    return rejection ?? this.handlers[message.kind]?.(message);
   };
 
-  private readonly respondWithResponse = (key: string): Message => {
-    const answer = this.options.table.findResponse(key);
-    return {
-      kind: KEY_MESSAGE.response,
-      ...(answer ? { answer: packStoredResponse(answer) } : {}),
-    };
+  private readonly handleClaim = async (message: Message): Promise<Message> => {
+    const { key, token } = readKeyClaim(message);
+    return packClaimResponse(await this.claimLocally(key, token));
   };
 
-  private readonly completeLocally = async (message: Message): Promise<boolean> => {
-    const answer = readStoredResponse(message["answer"]);
-    if (!answer) return false;
+  private readonly handleRelease = (message: Message): undefined => {
     const { key, token } = readKeyClaim(message);
-    return (await this.options.table.complete(key, token, answer)) && this.voting;
+    this.options.table.release(key, token);
+  };
+
+  private readonly handleRefresh = async (): Promise<Message> => {
+    await this.catchUp();
+    return packStored(this.voting && (await this.refreshWithBodies()));
   };
 
   private readonly claimLocally = async (key: string, token: string): Promise<ClaimResponse> => {
@@ -308,40 +279,8 @@
     return { result, isCompleted: table.findResponse(key) !== undefined };
   };
 
-  /** Whether these members form a quorum of each voter set in force. */
-  private readonly isQuorum = (ids: ReadonlySet<string>): boolean => {
-    const { store, withstandMachines } = this.options;
-    return store
-      .quorumSets()
-      .every(
-        (members) =>
-          members.filter((id) => ids.has(id)).length >= quorumSize(members, withstandMachines),
-      );
-  };
-
-  /**
-   * Fetches the response of a key that some replica reported as completed, from any replica that
-   * has its body.
-   */
   private readonly fetchResponse = async (key: string): Promise<KeyClaimResult> => {
-    const { self, table, store, request, logger } = this.options;
-    const replies = await Promise.all(
-      store
-        .members()
-        .filter((id) => id !== self)
-        .map((id) => request(id, { kind: KEY_MESSAGE.readResponse, key }, STORE_TIMEOUT_US)),
-    );
-    const found = [
-      table.findResponse(key),
-      ...replies.map((reply) => readStoredResponse(reply?.["answer"])),
-    ].find((answer) => answer?.body !== undefined);
-    if (found) return { kind: "done", answer: found };
-    this.count("responseMissing");
-    logger.warn("no replica returned the response of a completed key", {
-      asked: replies.length,
-      answered: replies.filter((reply) => reply !== undefined).length,
-      withoutBody: replies.filter((reply) => reply?.["answer"] !== undefined).length,
-    });
-    return { kind: "working" };
+    const answer = await this.responses.fetch(key);
+    return answer ? { kind: "done", answer } : { kind: "unavailable" };
   };
 }
--- a/src/idempotency/key-table.ts
+++ b/src/idempotency/key-table.ts
@@ -1,13 +1,16 @@
 /** One replica's table of idempotency keys and purges, with the log that persists it. */
-import { asRecord, readList, readNumber, type UnknownRecord } from "../common/decode.js";
+import { asRecord, readList, type UnknownRecord } from "../common/decode.js";
 import type { Clock } from "../common/clock.js";
 import { SECOND_US } from "../common/duration.js";
+import { ChangeLog } from "./change-log.js";
 import { SegmentLog } from "../storage/segment-log.js";
 import {
   KEY_RECORD,
+  readKeyRow,
   readKeyClaim,
   readPurge,
   readStoredResponse,
+  type KeyRow,
   type Purge,
   type StoredResponse,
   type TableClaimResult,
@@ -15,8 +18,10 @@
 
 interface Entry {
   readonly token: string;
-  readonly sinceUs: number;
+  sinceUs: number;
   answer: StoredResponse | undefined;
+  /** Position of the entry's latest change in the change log. */
+  changedAt: number;
 }
 
 /** Options of {@link IdempotencyKeyTable}. */
@@ -48,6 +53,8 @@
  * claim is reported as taken only after it was synced to disk.
  */
 export class IdempotencyKeyTable {
+  /** The keys in the order of their changes, for replicas that copy them. */
+  readonly changes = new ChangeLog();
   private readonly entries = new Map<string, Entry>();
   private readonly purgesById = new Map<
     string,
@@ -85,6 +92,11 @@
     return { withBody, withoutBody: answers.length - withBody };
   }
 
+  /** Whether too little disk space is left for new claims and for copies of other replicas. */
+  get isNearlyFull(): boolean {
+    return this.segments.isNearlyFull;
+  }
+
   get sizeBytes(): number {
     return this.segments.sizeBytes;
   }
@@ -119,8 +131,8 @@
     const existing = this.findEntry(key);
     if (existing && existing.token !== token) return "other";
     if (existing) return (await this.segments.flush()).isOk ? "taken" : "full";
-    if (this.segments.isNearlyFull) return "full";
-    this.entries.set(key, { token, sinceUs: this.options.clock.nowUs(), answer: undefined });
+    if (this.isNearlyFull) return "full";
+    this.put(key, token, this.options.clock.nowUs(), undefined);
     const appended = await this.segments.append({ kind: KEY_RECORD.claim, key, token });
     if (appended.isErr) this.deleteClaim(key, token);
     return appended.isOk ? "taken" : "full";
@@ -133,7 +145,9 @@
   };
 
   /**
-   * Stores the response of a key's run; false if another token holds the key or the write failed.
+   * Stores the response of a key's run; false if another token has run or the write failed. A claim
+   * of another token without a response is replaced: since a quorum took this token, the other one
+   * has not won and never will.
    */
   readonly complete = async (
     key: string,
@@ -141,7 +155,7 @@
     answer: StoredResponse,
   ): Promise<boolean> => {
     const existing = this.findEntry(key);
-    if (existing && existing.token !== token) return false;
+    if (existing?.answer && existing.token !== token) return false;
     this.storeResponse(key, token, answer);
     return (await this.segments.append({ kind: KEY_RECORD.complete, key, token, ...answer })).isOk;
   };
@@ -169,35 +183,33 @@
     return { keys, purges: this.purges() };
   };
 
-  /**
-   * Merges the packed table of another replica. Existing entries are kept, but get the response if
-   * they lack it. True if all of the data is durable.
-   */
+  /** The row of a key for another replica; undefined if the key is unknown or has expired. */
+  readonly row = (key: string): KeyRow | undefined => {
+    const entry = this.findEntry(key);
+    if (!entry) return undefined;
+    const { token, sinceUs, answer } = entry;
+    return { key, token, ageUs: this.options.clock.nowUs() - sinceUs, answer };
+  };
+
+  /** Whether a change is the latest one of its key. */
+  readonly isLatestChange = (key: string, position: number): boolean =>
+    this.entries.get(key)?.changedAt === position;
+
+  /** Merges the packed table of another replica. True if all of the data is durable. */
   readonly merge = async (packed: UnknownRecord): Promise<boolean> => {
-    const nowUs = this.options.clock.nowUs();
-    const appends = readList(packed, "keys", asRecord).flatMap((row) => {
-      const { key, token } = readKeyClaim(row);
-      const answer = readStoredResponse(row["answer"]);
-      const existing = this.findEntry(key);
-      if (existing && (existing.token !== token || existing.answer || !answer)) return [];
-      this.entries.set(key, {
-        token,
-        sinceUs: existing?.sinceUs ?? nowUs - readNumber(row, "ageUs"),
-        answer,
-      });
-      return [
-        this.segments.append(
-          answer
-            ? { kind: KEY_RECORD.complete, key, token, ...answer }
-            : { kind: KEY_RECORD.claim, key, token },
-        ),
-      ];
-    });
+    const restored = this.restore(readList(packed, "keys", readKeyRow));
     const addedPurges = readList(packed, "purges", readPurge).map((purge) => this.addPurge(purge));
-    return (
-      (await Promise.all(appends)).every((result) => result.isOk) &&
-      (await Promise.all(addedPurges)).every((done) => done)
-    );
+    return (await restored) && (await Promise.all(addedPurges)).every((done) => done);
+  };
+
+  /**
+   * Adds rows of another replica. Existing entries are kept, but get the response and the body that
+   * they lack, and the higher of the two ages: no replica learns of a claim before it is made. True
+   * if all of the data is durable.
+   */
+  readonly restore = async (rows: readonly KeyRow[]): Promise<boolean> => {
+    const appends = rows.flatMap((row) => (this.restoreRow(row) ? [this.appendRow(row)] : []));
+    return (await Promise.all(appends)).every((result) => result.isOk);
   };
 
   /**
@@ -214,6 +226,7 @@
       .filter(([, { sinceUs }]) => nowUs - sinceUs > PURGE_RETENTION_US)
       .map(([id]) => id);
     expiredIds.forEach((id) => this.purgesById.delete(id));
+    this.changes.removeBefore(nowUs - this.retentionUs);
     return expiredIds;
   };
 
@@ -229,12 +242,52 @@
     return entry?.token === token && entry.answer === undefined && this.entries.delete(key);
   };
 
+  private readonly put = (
+    key: string,
+    token: string,
+    sinceUs: number,
+    answer: StoredResponse | undefined,
+  ): void => {
+    const changedAt = this.changes.append(key, this.options.clock.nowUs());
+    this.entries.set(key, { token, sinceUs, answer, changedAt });
+  };
+
+  /** Stores a response; a body that is already held is kept if the response comes without it. */
   private readonly storeResponse = (key: string, token: string, answer: StoredResponse): void => {
     const existing = this.findEntry(key);
-    if (existing) existing.answer = answer;
-    else this.entries.set(key, { token, sinceUs: this.options.clock.nowUs(), answer });
+    const isSameToken = existing?.token === token;
+    this.put(
+      key,
+      token,
+      isSameToken ? existing.sinceUs : this.options.clock.nowUs(),
+      isSameToken && !answer.body && existing.answer?.body ? existing.answer : answer,
+    );
   };
 
+  /** Adds a row in memory; false if it tells nothing new. */
+  private readonly restoreRow = ({ key, token, ageUs, answer }: KeyRow): boolean => {
+    if (ageUs > this.retentionUs) return false;
+    const sinceUs = this.options.clock.nowUs() - ageUs;
+    const existing = this.findEntry(key);
+    if (!existing) {
+      this.put(key, token, sinceUs, answer);
+      return true;
+    }
+    if (existing.token !== token && (existing.answer || !answer)) return false;
+    existing.sinceUs = Math.min(existing.sinceUs, sinceUs);
+    const isNew = answer && (!existing.answer || (answer.body && !existing.answer.body));
+    if (!isNew) return false;
+    this.put(key, token, existing.sinceUs, answer);
+    return true;
+  };
+
+  private readonly appendRow = ({ key, token, answer }: KeyRow) =>
+    this.segments.append(
+      answer
+        ? { kind: KEY_RECORD.complete, key, token, ...answer }
+        : { kind: KEY_RECORD.claim, key, token },
+    );
+
   /**
    * Replays a record found on disk. Its age counts from now, since it is unknown how long the
    * process was down.
@@ -250,7 +303,7 @@
     if (typeof record["key"] !== "string") return;
     const { key, token } = readKeyClaim(record);
     if (record["kind"] === KEY_RECORD.claim && !this.entries.has(key))
-      this.entries.set(key, { token, sinceUs: nowUs, answer: undefined });
+      this.put(key, token, nowUs, undefined);
     else if (record["kind"] === KEY_RECORD.release) this.deleteClaim(key, token);
     else if (record["kind"] === KEY_RECORD.complete) {
       const answer = readStoredResponse(record);
--- a/src/idempotency/purge-replication.ts
+++ b/src/idempotency/purge-replication.ts
@@ -13,6 +13,7 @@
   readonly table: IdempotencyKeyTable;
   readonly store: ReplicatedStore;
   readonly readQuorum: ReadQuorum;
+  readonly request: (id: string, message: Message, waitUs: number) => Promise<Message | undefined>;
   /** Whether this replica counts in quorums. */
   readonly isVoting: () => boolean;
   /** Called for each purge that is new to this replica. */
@@ -45,11 +46,13 @@
    * now known here.
    */
   readonly read = async (): Promise<boolean> => {
-    const { table, readQuorum } = this.options;
+    const { table, store, request, readQuorum } = this.options;
     const ids = table.purges().map(({ id }) => id);
     const merges: Promise<boolean>[] = [];
-    const read = await readQuorum.gather({ kind: KEY_MESSAGE.readPurges, ids }, (reply) => {
-      if (!readBoolean(reply, "counts")) return false;
+    const message = store.withVoterSet({ kind: KEY_MESSAGE.readPurges, ids });
+    const read = await readQuorum.gather(async (id) => {
+      const reply = await request(id, message, CLAIM_TIMEOUT_US);
+      if (!reply || !readBoolean(reply, "counts")) return false;
       merges.push(...readList(reply, "purges", readPurge).map(this.addLocally));
       return true;
     });
--- a/src/programs/controller/content.ts
+++ b/src/programs/controller/content.ts
@@ -118,6 +118,8 @@
     isConnected: peers.isConnected,
     send: peers.broadcast,
     withstandMachines: settings.withstandMachines,
+    clock: options.clock,
+    linkMbps: settings.linkMbps,
     logger: loggerFor("idempotency-keys"),
     onPurge: ({ id, host, path, label }) =>
       updates.post([{ key: PURGE_PREFIX + id, version: 1, tie: "", body: { host, path, label } }]),
@@ -137,7 +139,11 @@
     const answer = readStoredResponse(message["answer"]);
     const isStored =
       answer !== undefined &&
-      (await keys.complete(readString(message, "key"), readString(message, "token"), answer));
+      (await keys.responses.store(
+        readString(message, "key"),
+        readString(message, "token"),
+        answer,
+      ));
     return { kind: NODE_REPLY.claim, kept: isStored };
   },
 });
@@ -177,10 +183,20 @@
       const { withBody, withoutBody } = table.responseCounts;
       return [
         { labels: { body: "stored" }, value: withBody },
-        { labels: { body: "missing" }, value: withoutBody },
+        { labels: { body: "elsewhere" }, value: withoutBody },
       ];
     },
   },
+  {
+    name: "yewreel_key_bodies_missing",
+    help: "Bodies of stored responses that this replica must hold and is known to lack.",
+    read: () => keys.repair.missingCount,
+  },
+  {
+    name: "yewreel_key_bodies_copied",
+    help: "Bodies of stored responses copied from other replicas since the start of the process.",
+    read: () => keys.repair.copiedCount,
+  },
 ];
 
 /** Creates the subsystem and starts its periodic tasks. */
@@ -201,6 +217,7 @@
   const catchUpTimer = clock.every(CATCH_UP_PERIOD_US, () => {
     rates.resetIfNotLeader();
     void keys.catchUp();
+    keys.repair.runIfDue();
     void readPurges();
   });
   const expiryTimer = clock.every(EXPIRY_PERIOD_US, () =>
@@ -209,6 +226,8 @@
   const describeKeys = (): UnknownRecord => ({
     keys: table.size,
     responses: table.responseCounts,
+    missingBodies: keys.repair.missingCount,
+    copiedBodies: keys.repair.copiedCount,
     bytes: table.sizeBytes,
     purges: table.purges().length,
     counting: keys.isVoting,
--- a/src/proxy/keyed-requests.ts
+++ b/src/proxy/keyed-requests.ts
@@ -4,6 +4,7 @@
  */
 import { sleep, withTimeout, type Clock } from "../common/clock.js";
 import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
+import type { OutcomeName } from "../common/http-outcomes.js";
 import type { IdempotencyClient, KeyedResponse } from "../idempotency/key-client.js";
 import { ATTEMPT_ID_HEADER, forwardedHeaders, IDEMPOTENCY_KEY_HEADER } from "./headers.js";
 import type { RequestContext } from "./request-context.js";
@@ -34,6 +35,13 @@
   "date",
   "yewreel-worker-load",
 ]);
+/** How a request is rejected whose last claim had this result. */
+const REJECTIONS = {
+  working: "keyAtWork",
+  unavailable: "responseUnavailable",
+  split: "noQuorum",
+  none: "noQuorum",
+} as const satisfies Readonly<Record<string, OutcomeName>>;
 const NO_REPLY = { kind: "none" } as const;
 
 /** Dependencies of {@link KeyedRequests}. */
@@ -70,7 +78,7 @@
       context.arrivedUs + route.latencyTargetUs / CLAIM_TARGET_DIVISOR,
       context.deadlineUs,
     );
-    let isInProgress = false;
+    let rejection: OutcomeName = "noQuorum";
     for (let round = 0; idempotency; round += 1) {
       if (context.isFinished || clock.nowUs() >= untilUs) break;
       const requestedUs = clock.nowUs();
@@ -96,11 +104,11 @@
         return false;
       }
       idempotency.release(key, token);
-      isInProgress = result.kind === "working";
-      if (isInProgress) break;
+      rejection = REJECTIONS[result.kind];
+      if (result.kind === "working") break;
       await sleep(clock, CLAIM_RETRY_US * (0.5 + random()));
     }
-    writer.reject(context, isInProgress ? "keyAtWork" : "noQuorum");
+    writer.reject(context, rejection);
     return false;
   };
 
--- a/src/proxy/subset.ts
+++ b/src/proxy/subset.ts
@@ -3,7 +3,7 @@
  * 1998): selects the workers of a service to which a node sends requests. docs/design.md explains
  * the sizes.
  */
-import { crc32 } from "node:zlib";
+import { rendezvousWeight } from "../common/rendezvous.js";
 
 /** The properties of a worker that subsetting uses. */
 export interface SubsetCandidate {
@@ -44,20 +44,6 @@
 const REMOTE_WORKERS = 3;
 const BACKUP_WORKERS = 8;
 
-/**
- * The finalizer of MurmurHash3. With crc32 alone, many nodes would rank ids that differ in one
- * digit alike.
- */
-const murmurFinalizer = (value: number): number => {
-  const once = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
-  const twice = Math.imul(once ^ (once >>> 13), 0xc2b2ae35);
-  return (twice ^ (twice >>> 16)) >>> 0;
-};
-
-/** The rendezvous weight of a worker for a node. It does not depend on any other worker or node. */
-const rendezvousWeight = (node: string, worker: string): number =>
-  murmurFinalizer(crc32(`${node}\n${worker}`));
-
 /** Rounds up to a power of two, so that adding or removing one node rarely changes a subset. */
 const roundUpToPowerOfTwo = (count: number): number =>
   2 ** Math.ceil(Math.log2(Math.max(1, count)));
