Purges travel between controllers with their age, so they end

What happened: a purge was never forgotten. A controller that had dropped it after its retention period read it back from the next one, which had it for a moment longer, as if it were new, and handed it on in turn. Each time it was written to disk, sent to every node again and kept for another period.

Cause: what a copy holds came without its age (found by reading, in the search for what else the copying of tables loses). Claims had theirs.

Change: purges are read, copied and packed with their age; the higher of two ages is kept, and a purge past its period isn't taken. From a controller of an earlier version, which sends no age, it counts from now, as before.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -83,6 +83,14 @@
     When all controllers are killed and restarted
     Then controller 2 knows the purge of label "t1"
 
+  # Guards against purges that controllers read back from each other, each time as if they were new.
+  Scenario: A purge is forgotten by all controllers after its retention period, and not before
+    When a purge of label "t1" is acknowledged by controller 1
+    And 58 s pass, in which the controllers read purges and remove expired ones in turn
+    Then controller 4 knows the purge of label "t1"
+    When 8 s pass, in which the controllers read purges and remove expired ones in turn
+    Then no controller knows a purge
+
   Scenario: Votes gathered under a replaced voter set do not count
     When the others remove controllers 1 and 5 from the voter set while controller 1 is partitioned
     Then a purge through controller 1 is rejected, and accepted when it is sent again
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -278,6 +278,20 @@
     assert.equal(lastResult().kind, kind);
   },
 );
+When(
+  "{int} s pass, in which the controllers read purges and remove expired ones in turn",
+  async (seconds: number) => {
+    for (let second = 0; second < seconds; second += 1)
+      for (const { keys, keyTable } of current().running.values()) {
+        keyTable.removeExpired();
+        await withClock(keys.purges.read());
+        await current().clock.pass(1_000_000 / current().running.size);
+      }
+  },
+);
+Then("no controller knows a purge", () =>
+  current().running.forEach(({ keyTable }) => assert.deepEqual(keyTable.purges(), [])),
+);
 Then("controller {int} knows the purge of label {string}", (number: number, label: string) => {
   const { keyTable, learnedPurges } = current().member(`b${number}`);
   assert.ok(keyTable.purges().some((purge) => purge.label === label));
--- a/src/idempotency/key-codec.ts
+++ b/src/idempotency/key-codec.ts
@@ -62,6 +62,13 @@
   readonly label: string;
 }
 
+/** A purge as one replica copies it from another. */
+export interface PurgeRow {
+  readonly purge: Purge;
+  /** Time since it was made, in microseconds. */
+  readonly ageUs: number;
+}
+
 /** A key and the token that claims it. */
 export interface KeyClaim {
   readonly key: string;
@@ -203,6 +210,15 @@
   };
 };
 
+/** Packs a purge with its age. */
+export const packPurgeRow = ({ purge, ageUs }: PurgeRow): UnknownRecord => ({ ...purge, ageUs });
+
+/** Reads a purge with its age. Replicas of earlier versions send none: it then counts from now. */
+export const readPurgeRow = (value: unknown): PurgeRow => {
+  const { ageUs } = asRecord(value, "purge");
+  return { purge: readPurge(value), ageUs: typeof ageUs === "number" ? ageUs : 0 };
+};
+
 /** Reads the key and the token from a message or a record on disk. */
 export const readKeyClaim = (fields: UnknownRecord): KeyClaim => ({
   key: readString(fields, "key"),
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -16,7 +16,7 @@
   readClaimResponse,
   readKeyClaim,
   readPageEnd,
-  readPurge,
+  readPurgeRow,
   readStored,
   TABLE_START,
   type ClaimResponse,
@@ -103,7 +103,7 @@
       [KEY_MESSAGE.readResponse]: this.responses.handleFetch,
       [KEY_MESSAGE.refresh]: this.handleRefresh,
       [KEY_MESSAGE.addPurge]: async (message) =>
-        packStored(await this.purges.addLocally(readPurge(message))),
+        packStored(await this.purges.addLocally(readPurgeRow(message))),
       [KEY_MESSAGE.readPurges]: (message) =>
         this.purges.respond(readList(message, "ids", asString)),
       [KEY_MESSAGE.readTable]: source.readTable,
--- a/src/idempotency/key-table-source.ts
+++ b/src/idempotency/key-table-source.ts
@@ -5,6 +5,7 @@
   KEY_MESSAGE,
   packKeyRow,
   packPageEnd,
+  packPurgeRow,
   readListResponses,
   readPosition,
   type KeyRow,
@@ -65,7 +66,7 @@
       counts,
       ...packPageEnd(end),
       keys: rows.map(packKeyRow),
-      purges: end.isLast ? table.purges() : [],
+      purges: end.isLast ? table.purgeRows().map(packPurgeRow) : [],
     };
   };
 
--- a/src/idempotency/key-table.ts
+++ b/src/idempotency/key-table.ts
@@ -9,9 +9,11 @@
   readKeyRow,
   readKeyClaim,
   readPurge,
+  readPurgeRow,
   readStoredResponse,
   type KeyRow,
   type Purge,
+  type PurgeRow,
   type StoredResponse,
   type TableClaimResult,
 } from "./key-codec.js";
@@ -160,15 +162,29 @@
     return (await this.segments.append({ kind: KEY_RECORD.complete, key, token, ...answer })).isOk;
   };
 
-  /** Stores a purge; false if the write failed. */
-  readonly addPurge = async (purge: Purge): Promise<boolean> => {
-    if (this.purgesById.has(purge.id)) return (await this.segments.flush()).isOk;
-    this.purgesById.set(purge.id, { purge, sinceUs: this.options.clock.nowUs() });
+  /**
+   * Stores a purge of a given age, and keeps the higher of two ages; false if the write failed. One
+   * older than the retention period is not stored.
+   */
+  readonly addPurge = async ({ purge, ageUs }: PurgeRow): Promise<boolean> => {
+    if (ageUs > PURGE_RETENTION_US) return true;
+    const sinceUs = this.options.clock.nowUs() - ageUs;
+    const known = this.purgesById.get(purge.id);
+    this.purgesById.set(purge.id, { purge, sinceUs: Math.min(sinceUs, known?.sinceUs ?? sinceUs) });
+    if (known) return (await this.segments.flush()).isOk;
     return (await this.segments.append({ kind: KEY_RECORD.purge, ...purge })).isOk;
   };
 
   readonly purges = (): readonly Purge[] => [...this.purgesById.values()].map(({ purge }) => purge);
 
+  readonly purgeRows = (): readonly PurgeRow[] => {
+    const nowUs = this.options.clock.nowUs();
+    return [...this.purgesById.values()].map(({ purge, sinceUs }) => ({
+      purge,
+      ageUs: nowUs - sinceUs,
+    }));
+  };
+
   readonly hasPurge = (id: string): boolean => this.purgesById.has(id);
 
   /** Packs the table without response bodies, for a replica that lost its table. */
@@ -198,7 +214,7 @@
   /** Merges the packed table of another replica. True if all of the data is durable. */
   readonly merge = async (packed: UnknownRecord): Promise<boolean> => {
     const restored = this.restore(readList(packed, "keys", readKeyRow));
-    const addedPurges = readList(packed, "purges", readPurge).map((purge) => this.addPurge(purge));
+    const addedPurges = readList(packed, "purges", readPurgeRow).map(this.addPurge);
     return (await restored) && (await Promise.all(addedPurges)).every((done) => done);
   };
 
--- a/src/idempotency/purge-replication.ts
+++ b/src/idempotency/purge-replication.ts
@@ -3,7 +3,14 @@
 import { readBoolean, readList } from "../common/decode.js";
 import type { ReplicatedStore } from "../consensus/replicated-store.js";
 import type { Message } from "../transport/connection.js";
-import { KEY_MESSAGE, readPurge, readStored, type Purge } from "./key-codec.js";
+import {
+  KEY_MESSAGE,
+  packPurgeRow,
+  readPurgeRow,
+  readStored,
+  type Purge,
+  type PurgeRow,
+} from "./key-codec.js";
 import type { IdempotencyKeyTable } from "./key-table.js";
 import type { ReadQuorum } from "./read-quorum.js";
 import { CLAIM_TIMEOUT_US } from "./timeouts.js";
@@ -35,7 +42,7 @@
     const stored = await store.callQuorum(
       { kind: KEY_MESSAGE.addPurge, ...purge },
       readStored,
-      () => this.addLocally(purge),
+      () => this.addLocally({ purge, ageUs: 0 }),
       CLAIM_TIMEOUT_US,
     );
     return stored.isOk;
@@ -53,7 +60,7 @@
     const read = await readQuorum.gather(async (id) => {
       const reply = await request(id, message, CLAIM_TIMEOUT_US);
       if (!reply || !readBoolean(reply, "counts")) return false;
-      merges.push(...readList(reply, "purges", readPurge).map(this.addLocally));
+      merges.push(...readList(reply, "purges", readPurgeRow).map(this.addLocally));
       return true;
     });
     await Promise.all(merges);
@@ -66,16 +73,19 @@
     return {
       kind: KEY_MESSAGE.response,
       counts: this.options.isVoting(),
-      purges: this.options.table.purges().filter(({ id }) => !known.has(id)),
+      purges: this.options.table
+        .purgeRows()
+        .filter(({ purge }) => !known.has(purge.id))
+        .map(packPurgeRow),
     };
   };
 
   /** Stores a purge at this replica; true if it is durable and this replica counts. */
-  readonly addLocally = async (purge: Purge): Promise<boolean> => {
-    const { table, onPurge } = this.options;
-    const isNew = !table.hasPurge(purge.id);
-    const stored = table.addPurge(purge);
-    if (isNew) onPurge(purge);
-    return (await stored) && this.options.isVoting();
+  readonly addLocally = async (row: PurgeRow): Promise<boolean> => {
+    const { table, onPurge, isVoting } = this.options;
+    const isNew = !table.hasPurge(row.purge.id);
+    const stored = table.addPurge(row);
+    if (isNew && table.hasPurge(row.purge.id)) onPurge(row.purge);
+    return (await stored) && isVoting();
   };
 }
