Gateways repeat the release of a key's token until every controller has confirmed it

Cause: a claim that a quorum had written to disk, but whose result did not reach the gateway before the controllers died, was given up by the gateway. Its release was one message without an answer; with no session it was dropped, and a controller that was down when another one passed it on never heard of it. The token was then held by nobody, and by every replica.

The message without an answer is still sent first, for controllers of earlier versions. A claim that reached no quorum in time is repeated with the same token, so that fewer tokens have to be released. A token that was given up is never used again, so a late release can't free a running operation.

What is left: a gateway that dies with its controllers takes the token along, and its key stays claimed until its window ends, since it may have run.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -24,6 +24,14 @@
     And attempt "two" claims key "k" through controller 2
     Then the results are "won, won"
 
+  # Guards against keys that stay refused as at work, although the gateway that claimed them gave
+  # the claim up: its release was lost with the controllers.
+  Scenario: A token given up while all controllers are down is released once they are back
+    When a gateway's claim of key "k" succeeds while all controllers are killed, and it gives up the token "one"
+    And all controllers are started again
+    And attempt "two" claims key "k" through controller 2
+    Then the last result is "won"
+
   Scenario: When the controller that claimed a key is killed, no other attempt wins
     When attempt "one" claims key "k" through controller 1
     And controller 1, which claimed the key, is killed
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -2,6 +2,8 @@
 import { appendFile, readdir } from "node:fs/promises";
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { IdempotencyClient } from "../../src/idempotency/key-client.js";
+import { KEY_MESSAGE, packStored, readReleaseAll } from "../../src/idempotency/key-codec.js";
 import type { KeyClaimResult } from "../../src/idempotency/key-replication.js";
 import { DiskLossRun } from "../support/disk-loss-run.js";
 import { ReplicaCluster } from "../support/replica-cluster.js";
@@ -172,6 +174,32 @@
 );
 Then("no stored response is lost", () => assert.deepEqual(seedsWithViolations, []));
 Then("stored responses are lost", () => assert.notDeepEqual(seedsWithViolations, []));
+When(
+  "a gateway's claim of key {string} succeeds while all controllers are killed, and it gives up the token {string}",
+  async (key: string, token: string) => {
+    const client = new IdempotencyClient(
+      current().clock,
+      async (message) => {
+        const session = current().running.get("b1");
+        if (!session) return undefined;
+        if (message.kind === KEY_MESSAGE.claim) {
+          await session.keys.claim(key, token);
+          await current().killAll();
+          return undefined;
+        }
+        return packStored(await session.keys.releaseAll(readReleaseAll(message)));
+      },
+      (message) => current().running.get("b1")?.keys.release(key, String(message["token"])),
+    );
+    assert.equal((await withClock(client.claim(key, token))).kind, "none");
+    client.release(key, token);
+    await current().clock.pass(1_000_000);
+  },
+);
+When("all controllers are started again", async () => {
+  await restart(current().ids);
+  await current().runBackground(6_000_000);
+});
 When("the controllers have had time to catch up", catchUp);
 When("all controllers are killed and restarted", async () => {
   await current().killAll();
--- a/fuzz/proxy-harness.ts
+++ b/fuzz/proxy-harness.ts
@@ -11,6 +11,7 @@
 import { RouteTable } from "../src/proxy/route-table.js";
 import { WorkerDirectory } from "../src/proxy/worker-directory.js";
 import type { Clock, Timer } from "../src/common/clock.js";
+import { asRecord, readList } from "../src/common/decode.js";
 import { silentLogger } from "../src/common/logger.js";
 import { defaultLimits, type RouteKind } from "../src/quota/retry-limits.js";
 import type { Message } from "../src/transport/connection.js";
@@ -53,6 +54,12 @@
   readonly ask = async (message: Message): Promise<Message | undefined> => {
     const [key, token] = [String(message["key"]), String(message["token"])];
     const existing = this.claims.get(key);
+    if (message.kind === "key-free-all") {
+      readList(message, "claims", asRecord).forEach((claim) =>
+        this.notify({ ...claim, kind: "key-free" }),
+      );
+      return { kind: "claim", kept: true };
+    }
     if (message.kind === "key-done") {
       this.claims.set(key, { token, answer: message["answer"] });
       return { kind: "claim", kept: true };
--- a/src/idempotency/key-client.ts
+++ b/src/idempotency/key-client.ts
@@ -6,7 +6,8 @@
 import { asRecord, isRecord, readList, asString, readNumber } from "../common/decode.js";
 import { MILLISECOND_US } from "../common/duration.js";
 import type { Message } from "../transport/connection.js";
-import { KEY_MESSAGE, readStored } from "./key-codec.js";
+import { KEY_MESSAGE, packReleaseAll, readStored } from "./key-codec.js";
+import { TokenReleases } from "./token-releases.js";
 
 /** The response of a key's first run, as stored and returned to repeated requests. */
 export interface KeyedResponse {
@@ -41,11 +42,17 @@
 
 /** Claims idempotency keys at the controller that this gateway has a session with. */
 export class IdempotencyClient {
+  private readonly releases: TokenReleases;
+
   constructor(
     private readonly clock: Clock,
     private readonly request: (message: Message, waitUs: number) => Promise<Message | undefined>,
     private readonly send: (message: Message) => void,
-  ) {}
+  ) {
+    this.releases = new TokenReleases(clock, async (claims) =>
+      readStored(await this.request(packReleaseAll(claims), CLAIM_TIMEOUT_US)),
+    );
+  }
 
   /** Claims a key for a token. */
   readonly claim = async (key: string, token: string): Promise<ClaimResult> => {
@@ -56,9 +63,14 @@
     return { kind: RESULTS_WITHOUT_RESPONSE.find((kind) => kind === result) ?? "none" };
   };
 
-  /** Releases a token whose operation has not run; the token must never be used again. */
-  readonly release = (key: string, token: string): void =>
+  /**
+   * Releases a token whose operation has not run; the token must never be used again. The release
+   * is sent at once, and repeated until every controller has confirmed it.
+   */
+  readonly release = (key: string, token: string): void => {
     this.send({ kind: KEY_MESSAGE.release, key, token });
+    this.releases.add({ key, token });
+  };
 
   /** Stores the response of a key's run; false if no quorum confirmed it within `waitUs`. */
   readonly complete = async (
--- a/src/idempotency/key-codec.ts
+++ b/src/idempotency/key-codec.ts
@@ -20,6 +20,8 @@
   claim: "key-claim",
   complete: "key-done",
   release: "key-free",
+  /** Releases several tokens, and is confirmed. */
+  releaseAll: "key-free-all",
   readResponse: "key-read",
   readTable: "key-book",
   /** Asks for the keys whose bodies the requester must hold, by pages. */
@@ -225,6 +227,16 @@
   token: readString(fields, "token"),
 });
 
+/** Packs a request to release tokens. */
+export const packReleaseAll = (claims: readonly KeyClaim[]): Message => ({
+  kind: KEY_MESSAGE.releaseAll,
+  claims: claims.map(({ key, token }) => ({ key, token })),
+});
+
+/** @throws DecodeError if a field is missing or has the wrong type */
+export const readReleaseAll = (message: Message): readonly KeyClaim[] =>
+  readList(message, "claims", (claim) => readKeyClaim(asRecord(claim, "claim")));
+
 /** Packs a replica's response to a claim. */
 export const packClaimResponse = ({ result, isCompleted }: ClaimResponse): Message => ({
   kind: KEY_MESSAGE.response,
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -12,14 +12,17 @@
   KEY_MESSAGE,
   packClaimResponse,
   packPosition,
+  packReleaseAll,
   packStored,
   readClaimResponse,
   readKeyClaim,
   readPageEnd,
   readPurgeRow,
+  readReleaseAll,
   readStored,
   TABLE_START,
   type ClaimResponse,
+  type KeyClaim,
   type Purge,
   type StoredResponse,
 } from "./key-codec.js";
@@ -99,6 +102,8 @@
     this.handlers = {
       [KEY_MESSAGE.claim]: this.handleClaim,
       [KEY_MESSAGE.release]: this.handleRelease,
+      [KEY_MESSAGE.releaseAll]: async (message) =>
+        packStored(await this.releaseLocally(readReleaseAll(message))),
       [KEY_MESSAGE.complete]: this.responses.handleStore,
       [KEY_MESSAGE.readResponse]: this.responses.handleFetch,
       [KEY_MESSAGE.refresh]: this.handleRefresh,
@@ -241,12 +246,31 @@
     return couldOtherTokenHaveWon ? { kind: "working" } : { kind: "split" };
   };
 
-  /** Releases a token whose operation has not run and never will. */
+  /** Releases a token whose operation has not run and never will, without confirmation. */
   readonly release = (key: string, token: string): void => {
-    this.options.table.release(key, token);
+    void this.options.table.release(key, token);
     this.options.send({ kind: KEY_MESSAGE.release, key, token });
   };
 
+  /**
+   * Releases tokens whose operations have not run and never will; true once every member has done
+   * so. Otherwise a member that was down still holds them, and the caller must repeat the call.
+   */
+  readonly releaseAll = async (claims: readonly KeyClaim[]): Promise<boolean> => {
+    const { self, store, request } = this.options;
+    const message = packReleaseAll(claims);
+    const released = await Promise.all(
+      store
+        .members()
+        .map(async (id) =>
+          id === self
+            ? this.releaseLocally(claims)
+            : readStored(await request(id, message, CLAIM_TIMEOUT_US)),
+        ),
+    );
+    return released.length > 0 && released.every(Boolean);
+  };
+
   /**
    * Handles a message of another controller; returns undefined if it needs no response.
    *
@@ -264,7 +288,13 @@
 
   private readonly handleRelease = (message: Message): undefined => {
     const { key, token } = readKeyClaim(message);
-    this.options.table.release(key, token);
+    void this.options.table.release(key, token);
+  };
+
+  private readonly releaseLocally = async (claims: readonly KeyClaim[]): Promise<boolean> => {
+    const { table } = this.options;
+    const released = await Promise.all(claims.map(({ key, token }) => table.release(key, token)));
+    return released.every(Boolean);
   };
 
   private readonly handleRefresh = async (): Promise<Message> => {
--- a/src/idempotency/key-table.ts
+++ b/src/idempotency/key-table.ts
@@ -140,10 +140,12 @@
     return appended.isOk ? "taken" : "full";
   };
 
-  /** Releases a token whose operation has not run. */
-  readonly release = (key: string, token: string): void => {
-    if (this.deleteClaim(key, token))
-      void this.segments.append({ kind: KEY_RECORD.release, key, token });
+  /** Releases a token whose operation has not run; false if the write failed. */
+  readonly release = async (key: string, token: string): Promise<boolean> => {
+    const written = this.deleteClaim(key, token)
+      ? this.segments.append({ kind: KEY_RECORD.release, key, token })
+      : this.segments.flush();
+    return (await written).isOk;
   };
 
   /**
--- a/src/programs/controller/content.ts
+++ b/src/programs/controller/content.ts
@@ -8,7 +8,7 @@
 import type { ReplicatedStore } from "../../consensus/replicated-store.js";
 import { WRITE_TIMEOUT_US } from "../../consensus/timeouts.js";
 import { IdempotencyKeyReplication } from "../../idempotency/key-replication.js";
-import { readStoredResponse } from "../../idempotency/key-codec.js";
+import { readReleaseAll, readStoredResponse } from "../../idempotency/key-codec.js";
 import { IdempotencyKeyTable } from "../../idempotency/key-table.js";
 import type { NodeSessions } from "../../membership/node-sessions.js";
 import type { Peers } from "../../membership/peers.js";
@@ -146,6 +146,10 @@
       ));
     return { kind: NODE_REPLY.claim, kept: isStored };
   },
+  [NODE_REQUEST.releaseKeys]: async (message) => ({
+    kind: NODE_REPLY.claim,
+    kept: await keys.releaseAll(readReleaseAll(message)),
+  }),
 });
 
 /**
--- a/src/programs/controller/node-messages.ts
+++ b/src/programs/controller/node-messages.ts
@@ -8,6 +8,7 @@
 export const NODE_REQUEST = {
   claimKey: "key-claim",
   completeKey: "key-done",
+  releaseKeys: "key-free-all",
   leaseRetries: "retry-ask",
   leaseRate: "rate-ask",
 } as const;
--- a/src/proxy/keyed-requests.ts
+++ b/src/proxy/keyed-requests.ts
@@ -26,7 +26,7 @@
  * window of their key, so a run that begins within this limit is covered for the entire window.
  */
 const MAX_CLAIM_AGE_US = 4 * SECOND_US;
-/** Mean delay before another claim after a claim that reached no quorum. */
+/** Mean delay before another claim after one that was not won. */
 const CLAIM_RETRY_US = 30 * MILLISECOND_US;
 /** Headers that belong to one attempt rather than to the operation. */
 const NOT_STORED: ReadonlySet<string> = new Set([
@@ -58,6 +58,13 @@
 const scopeKey = ({ customer }: RequestContext, { host }: Route, key: string): string =>
   [host, ...(customer ? [customer.name] : []), key].join("\n");
 
+/** The idempotency key that the client sent; undefined if it is missing or its length is invalid. */
+const readKeyHeader = ({ req }: RequestContext): string | undefined => {
+  const value = req.headers[IDEMPOTENCY_KEY_HEADER];
+  const isValid = typeof value === "string" && value !== "" && value.length <= MAX_KEY_LENGTH;
+  return isValid ? value : undefined;
+};
+
 /** Ensures that the operation of an idempotency key runs only once. */
 export class KeyedRequests {
   constructor(private readonly options: KeyedRequestsOptions) {}
@@ -68,8 +75,8 @@
    */
   readonly claim = async (context: RequestContext, route: Route): Promise<boolean> => {
     const { clock, idempotency, writer, random } = this.options;
-    const keyHeader = context.req.headers[IDEMPOTENCY_KEY_HEADER];
-    if (typeof keyHeader !== "string" || keyHeader === "" || keyHeader.length > MAX_KEY_LENGTH) {
+    const keyHeader = readKeyHeader(context);
+    if (keyHeader === undefined) {
       writer.reject(context, "noKey");
       return false;
     }
@@ -79,10 +86,10 @@
       context.deadlineUs,
     );
     let rejection: OutcomeName = "noQuorum";
-    for (let round = 0; idempotency; round += 1) {
+    let token = this.newToken(context);
+    let requestedUs = clock.nowUs();
+    while (idempotency) {
       if (context.isFinished || clock.nowUs() >= untilUs) break;
-      const requestedUs = clock.nowUs();
-      const token = `${context.attemptId}.${round}.${random().toString(36).slice(2)}`;
       const result = await withTimeout(
         clock,
         untilUs - clock.nowUs(),
@@ -95,23 +102,30 @@
           context.claim = { key, token, requestedUs };
           return true;
         }
-        idempotency.release(key, token);
-        return false;
+        break;
       }
       if (result.kind === "done") {
         const { status, heads, body } = result.answer;
         writer.sendStored(context, status, heads, Buffer.from(body));
         return false;
       }
-      idempotency.release(key, token);
       rejection = REJECTIONS[result.kind];
       if (result.kind === "working") break;
+      if (result.kind !== "none") {
+        idempotency.release(key, token);
+        token = this.newToken(context);
+        requestedUs = clock.nowUs();
+      }
       await sleep(clock, CLAIM_RETRY_US * (0.5 + random()));
     }
+    idempotency?.release(key, token);
     writer.reject(context, rejection);
     return false;
   };
 
+  private readonly newToken = ({ attemptId }: RequestContext): string =>
+    `${attemptId}.${this.options.random().toString(36).slice(2)}`;
+
   /** Returns whether the request holds a claim that covers an execution that begins now. */
   readonly isClaimed = ({ claim }: RequestContext): boolean =>
     claim !== undefined && this.options.clock.nowUs() - claim.requestedUs <= MAX_CLAIM_AGE_US;
