A gateway goes on storing a response that it could not store before it sent it

What callers saw: after all controllers had been killed, a repeat of a request that had been answered could get 409 for the rest of the key's window.

Cause: a gateway offers the response of a keyed operation to the controllers for half of the latency target that is left, at least 0.3 s, and then sends it whether or not it was stored. A response that was not stored was dropped, and its key stayed claimed without one.

Change: the gateway goes on offering it, with a growing delay, for 30 s at most and 4 MB of bodies at once. What the client waits for is unchanged.

Before: "A response that could not be stored while all controllers were down is stored once they are back" gets "working" on, and "done" now. The scenarios of keys and tokens pass.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -32,6 +32,15 @@
     And attempt "two" claims key "k" through controller 2
     Then the last result is "won"
 
+  # Guards against responses that were sent to the client, and are lost because no controller was
+  # there to store them.
+  Scenario: A response that could not be stored while all controllers were down is stored once they are back
+    When attempt "one" claims key "k" through controller 1
+    And all controllers are killed before a gateway stores the response "served by one" of token "one" for key "k"
+    And all controllers are started again
+    And attempt "two" claims key "k" through controller 2
+    Then the last result is "done" with "served by one"
+
   Scenario: When the controller that claimed a key is killed, no other attempt wins
     When attempt "one" claims key "k" through controller 1
     And controller 1, which claimed the key, is killed
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -3,10 +3,17 @@
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { IdempotencyClient } from "../../src/idempotency/key-client.js";
-import { KEY_MESSAGE, packStored, readReleaseAll } from "../../src/idempotency/key-codec.js";
+import {
+  KEY_MESSAGE,
+  packStored,
+  readKeyClaim,
+  readReleaseAll,
+  readStoredResponse,
+} from "../../src/idempotency/key-codec.js";
 import type { KeyClaimResult } from "../../src/idempotency/key-replication.js";
 import { DiskLossRun } from "../support/disk-loss-run.js";
-import { ReplicaCluster } from "../support/replica-cluster.js";
+import type { Message } from "../../src/transport/connection.js";
+import { ReplicaCluster, type ClusterMember } from "../support/replica-cluster.js";
 
 interface Attempt {
   readonly name: string;
@@ -14,6 +21,8 @@
   readonly result: KeyClaimResult;
 }
 
+/** Ends a run of many seeds that hangs; far above what one takes beside load. */
+const HANG_TIMEOUT_MS = 240_000;
 const IDS = ["b1", "b2", "b3", "b4", "b5"];
 
 let cluster: ReplicaCluster | undefined;
@@ -165,6 +174,7 @@
 });
 When(
   "{int} seeds of disks lost in turn are run {word} the repair",
+  { timeout: HANG_TIMEOUT_MS },
   async (count: number, withOrWithout: string) => {
     for (let seed = 1; seed <= count; seed += 1) {
       const { violations } = await new DiskLossRun(seed, withOrWithout === "with").run();
@@ -174,28 +184,50 @@
 );
 Then("no stored response is lost", () => assert.deepEqual(seedsWithViolations, []));
 Then("stored responses are lost", () => assert.notDeepEqual(seedsWithViolations, []));
+/** A gateway with a session at controller 1, whenever that one runs. */
+const openGateway = (handleClaim: (session: ClusterMember, message: Message) => Promise<void>) =>
+  new IdempotencyClient(
+    current().clock,
+    async (message) => {
+      const session = current().running.get("b1");
+      if (!session) return undefined;
+      if (message.kind === KEY_MESSAGE.releaseAll)
+        return packStored(await session.keys.releaseAll(readReleaseAll(message)));
+      if (message.kind === KEY_MESSAGE.complete) {
+        const answer = readStoredResponse(message["answer"]);
+        const { key, token } = readKeyClaim(message);
+        return packStored(
+          answer !== undefined && (await session.keys.responses.store(key, token, answer)),
+        );
+      }
+      await handleClaim(session, message);
+      return undefined;
+    },
+    (message) => current().running.get("b1")?.keys.release("k", String(message["token"])),
+  );
+
 When(
   "a gateway's claim of key {string} succeeds while all controllers are killed, and it gives up the token {string}",
   async (key: string, token: string) => {
-    const client = new IdempotencyClient(
-      current().clock,
-      async (message) => {
-        const session = current().running.get("b1");
-        if (!session) return undefined;
-        if (message.kind === KEY_MESSAGE.claim) {
-          await session.keys.claim(key, token);
-          await current().killAll();
-          return undefined;
-        }
-        return packStored(await session.keys.releaseAll(readReleaseAll(message)));
-      },
-      (message) => current().running.get("b1")?.keys.release(key, String(message["token"])),
-    );
-    assert.equal((await withClock(client.claim(key, token))).kind, "none");
-    client.release(key, token);
+    const gateway = openGateway(async (session) => {
+      await session.keys.claim(key, token);
+      await current().killAll();
+    });
+    assert.equal((await withClock(gateway.claim(key, token))).kind, "none");
+    gateway.release(key, token);
     await current().clock.pass(1_000_000);
   },
 );
+When(
+  "all controllers are killed before a gateway stores the response {string} of token {string} for key {string}",
+  async (body: string, token: string, key: string) => {
+    await current().killAll();
+    const gateway = openGateway(async () => undefined);
+    const answer = { status: 200, heads: [], body: Buffer.from(body) };
+    const waitUs = 300_000;
+    assert.equal(await withClock(gateway.complete(key, token, answer, waitUs)), false);
+  },
+);
 When("all controllers are started again", async () => {
   await restart(current().ids);
   await current().runBackground(6_000_000);
--- a/src/idempotency/key-client.ts
+++ b/src/idempotency/key-client.ts
@@ -2,9 +2,9 @@
  * Client side of idempotency keys: the requests of a gateway to the controller that it has a
  * session with.
  */
-import { sleep, type Clock } from "../common/clock.js";
+import { sleep, withTimeout, type Clock } from "../common/clock.js";
 import { asRecord, isRecord, readList, asString, readNumber } from "../common/decode.js";
-import { MILLISECOND_US } from "../common/duration.js";
+import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
 import type { Message } from "../transport/connection.js";
 import { KEY_MESSAGE, packReleaseAll, readStored } from "./key-codec.js";
 import { TokenReleases } from "./token-releases.js";
@@ -29,6 +29,12 @@
 const CLAIM_TIMEOUT_US = 600 * MILLISECOND_US;
 const STORE_TIMEOUT_US = 400 * MILLISECOND_US;
 const RETRY_DELAY_US = 100 * MILLISECOND_US;
+const RETRY_DELAY_GROWTH = 1.5;
+const MAX_RETRY_DELAY_US = 2 * SECOND_US;
+/** For how long a response is offered to the controllers. Claims are kept for a longer time. */
+const MAX_STORE_US = 30 * SECOND_US;
+/** Bytes of responses that wait to be stored; beyond that a response is given up with its caller. */
+const MAX_UNSTORED_BYTES = 4 * 1024 * 1024;
 
 const readResponse = (value: unknown): KeyedResponse => {
   const fields = asRecord(value, "answer");
@@ -43,6 +49,7 @@
 /** Claims idempotency keys at the controller that this gateway has a session with. */
 export class IdempotencyClient {
   private readonly releases: TokenReleases;
+  private unstoredBytes = 0;
 
   constructor(
     private readonly clock: Clock,
@@ -72,22 +79,39 @@
     this.releases.add({ key, token });
   };
 
-  /** Stores the response of a key's run; false if no quorum confirmed it within `waitUs`. */
-  readonly complete = async (
+  /**
+   * Stores the response of a key's run; false if that was not confirmed within `waitUs`. It is then
+   * repeated in the background, since the caller may send the response to its client meanwhile.
+   */
+  readonly complete = (
     key: string,
     token: string,
     answer: KeyedResponse,
     waitUs: number,
   ): Promise<boolean> => {
-    const untilUs = this.clock.nowUs() + waitUs;
+    const hasRoom = this.unstoredBytes + answer.body.length <= MAX_UNSTORED_BYTES;
+    const stored = this.storeRepeatedly(key, token, answer, hasRoom ? MAX_STORE_US : waitUs);
+    return withTimeout(this.clock, waitUs, stored, false);
+  };
+
+  private readonly storeRepeatedly = async (
+    key: string,
+    token: string,
+    answer: KeyedResponse,
+    maxUs: number,
+  ): Promise<boolean> => {
+    const untilUs = this.clock.nowUs() + maxUs;
+    const message = { kind: KEY_MESSAGE.complete, key, token, answer };
+    let delayUs = RETRY_DELAY_US;
+    let isStored = false;
+    this.unstoredBytes += answer.body.length;
     for (;;) {
-      const reply = await this.request(
-        { kind: KEY_MESSAGE.complete, key, token, answer },
-        STORE_TIMEOUT_US,
-      );
-      if (readStored(reply)) return true;
-      if (this.clock.nowUs() + RETRY_DELAY_US >= untilUs) return false;
-      await sleep(this.clock, RETRY_DELAY_US);
+      isStored = readStored(await this.request(message, STORE_TIMEOUT_US));
+      if (isStored || this.clock.nowUs() + delayUs >= untilUs) break;
+      await sleep(this.clock, delayUs);
+      delayUs = Math.min(delayUs * RETRY_DELAY_GROWTH, MAX_RETRY_DELAY_US);
     }
+    this.unstoredBytes -= answer.body.length;
+    return isStored;
   };
 }
