--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -155,3 +155,17 @@
   Scenario: Without the repair of responses, disks lost in turn lose stored responses
     When 5 seeds of disks lost in turn are run without the repair
     Then stored responses are lost
+
+  Scenario: A table is copied in pages of bounded size, and in one message by an earlier version
+    Given 3 controllers that must withstand the loss of 1, all of them voters
+    When controller 1 holds 1000 keys without responses
+    Then controller 1 sends its 1000 keys in 3 pages, and in one message to an earlier version
+
+  # Guards against copies that take the space which answers of accepted claims need.
+  Scenario: A replica whose log is nearly full copies no responses, and refuses claims before they run
+    Given 3 controllers that must withstand the loss of 2, with logs of 40000 bytes
+    When 5 keys get responses of 1500 bytes
+    And controller 1 loses its disk and restarts
+    And the log of controller 1 is filled with keys
+    And 6 s pass, in which the controllers do their periodic work
+    Then controller 1 copies no response, refuses new keys and knows that 5 bodies are missing
--- a/features/steps/compatibility.ts
+++ b/features/steps/compatibility.ts
@@ -25,6 +25,7 @@
   asRecord,
   readBoolean,
   readList,
+  readNumber,
   parseJson,
   readString,
   asString,
@@ -59,6 +60,8 @@
   folder = "";
 });
 
+const ADDITIONS_FILE = "features/data/2026-12-04-key-copies/additions.json";
+
 const readGolden = async (name: string): Promise<unknown> =>
   parseJson(await readFile(join(FOLDER, name), "utf8"));
 const readGoldenRecord = async (name: string): Promise<UnknownRecord> =>
@@ -226,11 +229,37 @@
   }
 });
 
+/**
+ * The recorded values, with the fields that messages have gained since. Controllers of earlier
+ * versions ignore these; everything else must be as it was recorded.
+ */
+const withAdditions = async (
+  recorded: readonly unknown[],
+  what: "conversation" | "answers",
+  add: (value: unknown, fields: UnknownRecord) => unknown,
+): Promise<readonly unknown[]> => {
+  const additions = asRecord(parseJson(await readFile(ADDITIONS_FILE, "utf8")));
+  const fieldsByIndex = new Map(
+    asList(additions[what]).map((row) => {
+      const addition = asRecord(row);
+      return [readNumber(addition, "at"), asRecord(addition["fields"])];
+    }),
+  );
+  return recorded.map((value, at) => {
+    const fields = fieldsByIndex.get(at);
+    return fields ? add(value, fields) : value;
+  });
+};
+
 Then("a conversation of four controllers is identical to the recorded one", async () => {
   cluster = new ReplicaCluster(IDS);
+  const recorded = asList(await readGolden("conversation.json"));
   assert.deepEqual(
     toPlainJson(await recordConversation(cluster)),
-    await readGolden("conversation.json"),
+    await withAdditions(recorded, "conversation", (value, fields) => {
+      const [to, message] = asList(value);
+      return [to, { ...asRecord(message), ...fields }];
+    }),
   );
 });
 
@@ -238,7 +267,11 @@
   cluster = new ReplicaCluster(IDS);
   const requests = asList(await readGolden("asked-of-b.json")).map(messageOf);
   const answers = toPlainJson(await collectAnswers(cluster, "b", requests));
-  const expected = asList(await readGolden("answers-of-b.json"));
+  const recorded = asList(await readGolden("answers-of-b.json"));
+  const expected = await withAdditions(recorded, "answers", (value, fields) => ({
+    ...asRecord(value),
+    ...fields,
+  }));
   asList(answers).forEach((answer, at) =>
     assert.deepEqual(answer, expected[at], `answer to ${requests[at]?.kind ?? ""}, message ${at}`),
   );
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -2,13 +2,18 @@
 import { appendFile, readdir } from "node:fs/promises";
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { readList } from "../../src/common/decode.js";
 import { IdempotencyClient } from "../../src/idempotency/key-client.js";
 import {
   KEY_MESSAGE,
+  packPosition,
   packStored,
   readKeyClaim,
+  readKeyRow,
+  readPageEnd,
   readReleaseAll,
   readStoredResponse,
+  TABLE_START,
 } from "../../src/idempotency/key-codec.js";
 import type { KeyClaimResult } from "../../src/idempotency/key-replication.js";
 import { DiskLossRun } from "../support/disk-loss-run.js";
@@ -164,6 +169,49 @@
 When("{int} s pass, in which the controllers do their periodic work", (seconds: number) =>
   current().runBackground(seconds * 1_000_000),
 );
+When(
+  "controller {int} holds {int} keys without responses",
+  async (number: number, count: number) => {
+    const { keyTable } = current().member(`b${number}`);
+    const claims = Array.from({ length: count }, (_, at) => keyTable.claim(`key-${at}`, "first"));
+    assert.ok((await Promise.all(claims)).every((result) => result === "taken"));
+  },
+);
+/** All keys that the rows of a response name. */
+const keysOf = (response: Message | undefined): readonly string[] =>
+  readList(response ?? { kind: "" }, "keys", (row) => readKeyRow(row).key);
+Then(
+  "controller {int} sends its {int} keys in {int} pages, and in one message to an earlier version",
+  async (number: number, count: number, pageCount: number) => {
+    const { keys } = current().member(`b${number}`);
+    const request = { kind: KEY_MESSAGE.readTable };
+    const received = new Set<string>();
+    let position = TABLE_START;
+    let pages = 0;
+    for (let isLast = false; !isLast; pages += 1) {
+      const page = await keys.handleRequest({ ...request, ...packPosition(position) });
+      keysOf(page).forEach((key) => received.add(key));
+      ({ isLast, position } = readPageEnd(page ?? request));
+    }
+    assert.deepEqual([received.size, pages], [count, pageCount]);
+    assert.equal(new Set(keysOf(await keys.handleRequest(request))).size, count);
+  },
+);
+Then(
+  "controller {int} copies no response, refuses new keys and knows that {int} bodies are missing",
+  async (number: number, count: number) => {
+    const { keys, keyTable } = current().member(`b${number}`);
+    assert.deepEqual(
+      [keys.repair.copiedCount, keys.repair.missingCount, keyTable.isNearlyFull],
+      [0, count, true],
+    );
+    assert.equal(await keyTable.claim("new", "token"), "full");
+  },
+);
+When("the log of controller {int} is filled with keys", async (number: number) => {
+  const { keyTable } = current().member(`b${number}`);
+  for (let at = 0; !keyTable.isNearlyFull; at += 1) await keyTable.claim(`filler-${at}`, "t");
+});
 Then("every controller returns the response of every key", async () => {
   for (const [key, body] of storedBodies)
     for (const id of current().ids) {
--- a/src/idempotency/key-table-source.ts
+++ b/src/idempotency/key-table-source.ts
@@ -72,7 +72,7 @@
 
   /**
    * Responds with a page of the keys whose bodies are stored here and must be stored at the
-   * requester.
+   * requester. Keys past their window are left out, since nothing is promised of them.
    *
    * @throws DecodeError if the message is malformed
    */
@@ -81,8 +81,9 @@
     const copies = bodyCopies(members, this.options.withstandMachines);
     const keys: string[] = [];
     let leftBytes = PAGE_BYTES;
-    const end = this.scan(position, ({ key, answer }) => {
-      if (!answer?.body || !isHolder(key, holder, members, copies)) return true;
+    const end = this.scan(position, ({ key, ageUs, answer }) => {
+      if (!answer?.body || ageUs > this.options.table.keyWindowUs) return true;
+      if (!isHolder(key, holder, members, copies)) return true;
       keys.push(key);
       leftBytes -= key.length;
       return leftBytes > 0;
--- a/src/idempotency/key-table.ts
+++ b/src/idempotency/key-table.ts
@@ -83,6 +83,11 @@
     });
   }
 
+  /** Period within which a key must not run twice, in microseconds. */
+  get keyWindowUs(): number {
+    return this.options.keyWindowUs;
+  }
+
   get size(): number {
     return this.entries.size;
   }
--- a/src/idempotency/response-replication.ts
+++ b/src/idempotency/response-replication.ts
@@ -44,11 +44,12 @@
   /** Stores the response of a key's run; false if too few members stored it in time. */
   readonly store = async (key: string, token: string, answer: StoredResponse): Promise<boolean> => {
     const { store, isConnected, withstandMachines } = this.options;
-    const ranked = rankHolders(key, targetMembers(store));
+    const isSmall = (answer.body?.length ?? 0) <= SMALL_BODY_BYTES;
+    const targets = targetMembers(store);
+    const copies = bodyCopies(targets, withstandMachines);
+    const ranked = isSmall ? targets : rankHolders(key, targets);
     const members = [...ranked, ...store.members().filter((id) => !ranked.includes(id))];
     const preferred = [...members].sort((a, b) => Number(isConnected(b)) - Number(isConnected(a)));
-    const isSmall = (answer.body?.length ?? 0) <= SMALL_BODY_BYTES;
-    const copies = bodyCopies(ranked, withstandMachines);
     const holders = isSmall ? preferred : preferred.slice(0, copies);
     const others = preferred.slice(holders.length);
     const withBody = new Set<string>();
