--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -148,13 +148,30 @@
       | 5           | 9000  | 1     | 2      | 3     |
       | 5           | 1500  | 4     | 5      | 2     |
 
-  Scenario: No random choice of lost disks within the limit loses a stored response
+  Scenario: No random choice of lost disks within the limit loses acknowledged state
     When 30 seeds of disks lost in turn are run with the repair
-    Then no stored response is lost
+    Then no acknowledged state is lost
 
-  Scenario: Without the repair of responses, disks lost in turn lose stored responses
+  Scenario: Without the repair of responses, disks lost in turn lose acknowledged state
     When 5 seeds of disks lost in turn are run without the repair
-    Then stored responses are lost
+    Then acknowledged state is lost
+
+  # Guards against repeated calls that store a response at other members than the first one did.
+  Scenario: A response that is stored again without its body keeps the body
+    When attempt "one" claims key "k" through controller 1
+    And attempt "one" stores the response "served by one" through controller 1
+    And every controller is told again that attempt "one" has completed key "k", without the body
+    And all controllers are killed and restarted
+    And attempt "two" claims key "k" through controller 3
+    Then the last result is "done" with "served by one"
+
+  # Guards against a claim that lost, whose release never came, and which kept the response out.
+  Scenario: A claim that lost does not keep out the response of the one that won
+    When controllers 4 and 5 take the token "lost" for key "k", which is never released
+    And attempt "one" claims key "k" through controller 1
+    Then the last result is "won"
+    When attempt "one" stores the response "served by one" through controller 1
+    Then every controller knows that key "k" belongs to "one" and has completed
 
   Scenario: A table is copied in pages of bounded size, and in one message by an earlier version
     Given 3 controllers that must withstand the loss of 1, all of them voters
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -230,8 +230,8 @@
     }
   },
 );
-Then("no stored response is lost", () => assert.deepEqual(seedsWithViolations, []));
-Then("stored responses are lost", () => assert.notDeepEqual(seedsWithViolations, []));
+Then("no acknowledged state is lost", () => assert.deepEqual(seedsWithViolations, []));
+Then("acknowledged state is lost", () => assert.notDeepEqual(seedsWithViolations, []));
 /** A gateway with a session at controller 1, whenever that one runs. */
 const openGateway = (handleClaim: (session: ClusterMember, message: Message) => Promise<void>) =>
   new IdempotencyClient(
@@ -276,6 +276,28 @@
     assert.equal(await withClock(gateway.complete(key, token, answer, waitUs)), false);
   },
 );
+When(
+  "every controller is told again that attempt {string} has completed key {string}, without the body",
+  async (token: string, key: string) => {
+    const answer = { status: 200, heads: [], body: undefined };
+    for (const { keyTable } of current().running.values())
+      assert.ok(await keyTable.complete(key, token, answer));
+  },
+);
+When(
+  "controllers {int} and {int} take the token {string} for key {string}, which is never released",
+  async (one: number, two: number, token: string, key: string) => {
+    for (const number of [one, two])
+      assert.equal(await current().member(`b${number}`).keyTable.claim(key, token), "taken");
+  },
+);
+Then(
+  "every controller knows that key {string} belongs to {string} and has completed",
+  (key: string, token: string) =>
+    current().running.forEach(({ keyTable }) =>
+      assert.deepEqual([keyTable.findToken(key), keyTable.findResponse(key)?.status], [token, 200]),
+    ),
+);
 When("all controllers are started again", async () => {
   await restart(current().ids);
   await current().runBackground(6_000_000);
--- a/features/support/replica-cluster.ts
+++ b/features/support/replica-cluster.ts
@@ -145,10 +145,16 @@
       isDone = true;
     });
     // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition -- set by the callback above
-    for (let step = 0; step < 2_000 && !isDone; step += 1) await this.clock.pass(5_000);
+    for (let step = 0; step < 2_000 && !isDone; step += 1) await this.passWithDisks(5_000);
     return finished;
   };
 
+  /** Advances the clock once the disks, which are real, have written what they were given. */
+  private readonly passWithDisks = async (durationUs: number): Promise<void> => {
+    await Promise.all([...this.running.values()].map(({ keyTable }) => keyTable.persisted()));
+    await this.clock.pass(durationUs);
+  };
+
   /** Lets every controller catch up, then sets the voter set to the given ids in one change. */
   readonly makeVoters = async (ids: readonly string[]): Promise<void> => {
     await this.readAll();
@@ -169,7 +175,8 @@
         void keys.catchUp();
         if (this.repairsResponses) keys.repair.runIfDue();
       }
-      await this.clock.pass(BACKGROUND_PERIOD_US);
+      await this.passWithDisks(BACKGROUND_PERIOD_US / 2);
+      await this.passWithDisks(BACKGROUND_PERIOD_US / 2);
     }
   };
 
--- a/src/idempotency/key-table.ts
+++ b/src/idempotency/key-table.ts
@@ -124,6 +124,9 @@
     return this.isInitialized;
   };
 
+  /** Resolves to true once everything recorded before the call is durable. */
+  readonly persisted = async (): Promise<boolean> => (await this.segments.flush()).isOk;
+
   /** Waits for pending writes and closes the log. */
   readonly close = (): Promise<void> => this.segments.close();
 
@@ -137,7 +140,7 @@
   readonly claim = async (key: string, token: string): Promise<TableClaimResult> => {
     const existing = this.findEntry(key);
     if (existing && existing.token !== token) return "other";
-    if (existing) return (await this.segments.flush()).isOk ? "taken" : "full";
+    if (existing) return (await this.persisted()) ? "taken" : "full";
     if (this.isNearlyFull) return "full";
     this.put(key, token, this.options.clock.nowUs(), undefined);
     const appended = await this.segments.append({ kind: KEY_RECORD.claim, key, token });
@@ -147,10 +150,8 @@
 
   /** Releases a token whose operation has not run; false if the write failed. */
   readonly release = async (key: string, token: string): Promise<boolean> => {
-    const written = this.deleteClaim(key, token)
-      ? this.segments.append({ kind: KEY_RECORD.release, key, token })
-      : this.segments.flush();
-    return (await written).isOk;
+    if (!this.deleteClaim(key, token)) return this.persisted();
+    return (await this.segments.append({ kind: KEY_RECORD.release, key, token })).isOk;
   };
 
   /**
@@ -178,7 +179,7 @@
     const sinceUs = this.options.clock.nowUs() - ageUs;
     const known = this.purgesById.get(purge.id);
     this.purgesById.set(purge.id, { purge, sinceUs: Math.min(sinceUs, known?.sinceUs ?? sinceUs) });
-    if (known) return (await this.segments.flush()).isOk;
+    if (known) return this.persisted();
     return (await this.segments.append({ kind: KEY_RECORD.purge, ...purge })).isOk;
   };
 
--- a/src/idempotency/response-placement.ts
+++ b/src/idempotency/response-placement.ts
@@ -4,6 +4,11 @@
  * what.
  */
 import { rendezvousWeight } from "../common/rendezvous.js";
+import type { ReplicatedStore } from "../consensus/replicated-store.js";
+
+/** The members that will form the voter set once it is no longer joint. */
+export const targetMembers = (store: ReplicatedStore): readonly string[] =>
+  store.voterSet().members;
 
 /** Number of copies of a body that survive the loss of `withstandMachines` machines at once. */
 export const bodyCopies = (members: readonly string[], withstandMachines: number): number =>
--- a/src/idempotency/response-repair.ts
+++ b/src/idempotency/response-repair.ts
@@ -20,6 +20,7 @@
 } from "./key-codec.js";
 import { PAGE_BYTES } from "./key-table-source.js";
 import type { IdempotencyKeyTable } from "./key-table.js";
+import { targetMembers } from "./response-placement.js";
 import { REPAIR_TIMEOUT_US } from "./timeouts.js";
 import { TransferRate, transferBytesPerS } from "./transfer-rate.js";
 
@@ -54,7 +55,7 @@
  *
  * Each round reads from every connected member the keys stored there since the last round, as far
  * as this replica must hold their bodies, and fetches the missing ones, the latest first. A failed
- * request makes the next round read everything anew; so does a change of the voter set. Invariant:
+ * fetch makes the next round read everything anew; so does a change of the voter set. Invariant:
  * once a round has succeeded with a member, each body that the member held at its beginning and
  * that belongs here is durable here.
  */
@@ -127,9 +128,7 @@
   /** Lists and fetches what a member has; false if it did not respond or the disk failed. */
   private readonly copyFrom = async (id: string): Promise<boolean> => {
     try {
-      const isCopied = (await this.listFrom(id)) && (await this.fetchFrom(id));
-      if (!isCopied) this.mustReadAll = true;
-      return isCopied;
+      return (await this.listFrom(id)) && (await this.fetchFrom(id));
     } catch (error) {
       this.mustReadAll = true;
       this.options.logger.warn("response bodies could not be copied", {
@@ -171,7 +170,11 @@
       if (keys.length === 0) return true;
       await this.rate.reserve(PAGE_BYTES);
       const reply = await request(id, { kind: KEY_MESSAGE.readResponses, keys }, REPAIR_TIMEOUT_US);
-      if (!reply || !(await this.store(reply, keys, wanted))) return false;
+      if (!reply || !(await this.storePage(reply, keys, wanted))) {
+        // Other members may have passed over these keys as requested.
+        this.mustReadAll = true;
+        return false;
+      }
     }
   };
 
@@ -189,7 +192,7 @@
   };
 
   /** Stores the received responses, and wants again what the page had no room for. */
-  private readonly store = async (
+  private readonly storePage = async (
     reply: Message,
     keys: readonly string[],
     wanted: string[],
@@ -210,7 +213,3 @@
     return true;
   };
 }
-
-/** The members that will form the voter set once it is no longer joint. */
-export const targetMembers = (store: ReplicatedStore): readonly string[] =>
-  store.voterSet().members;
--- a/src/idempotency/response-replication.ts
+++ b/src/idempotency/response-replication.ts
@@ -14,8 +14,7 @@
   type StoredResponse,
 } from "./key-codec.js";
 import type { IdempotencyKeyTable } from "./key-table.js";
-import { bodyCopies, rankHolders } from "./response-placement.js";
-import { targetMembers } from "./response-repair.js";
+import { bodyCopies, rankHolders, targetMembers } from "./response-placement.js";
 import { STORE_TIMEOUT_US } from "./timeouts.js";
 
 /** Dependencies of {@link ResponseReplication}. */
