Repeats of a keyed request whose response is too large to store are told so, not 409

What callers saw: a keyed response of more than 256 KB, or one that met no buffer memory, reached its client, and every repeat got 409 "the key is at work" until the window ended.

Cause: such a response is streamed and can't be stored, and then nothing was stored at all, so the key looked as if its operation still ran.

Change: the gateway stores that the operation has completed; a repeat gets 503 with Retry-After.

Before: "A keyed response that is too large to be stored is sent whole, and its repeat is told to retry later" gets 409 with the old condition, 503 now; 33 scenarios of keys and fuzz pass.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -156,11 +156,17 @@
     When 5 seeds of disks lost in turn are run without the repair
     Then acknowledged state is lost
 
+  Scenario: An operation that has completed without a stored response is not said to be in progress
+    When attempt "one" claims key "k" through controller 1
+    And every controller is told that attempt "one" has completed key "k", without the body
+    And attempt "two" claims key "k" through controller 2
+    Then the last result is "unavailable"
+
   # Guards against repeated calls that store a response at other members than the first one did.
   Scenario: A response that is stored again without its body keeps the body
     When attempt "one" claims key "k" through controller 1
     And attempt "one" stores the response "served by one" through controller 1
-    And every controller is told again that attempt "one" has completed key "k", without the body
+    And every controller is told that attempt "one" has completed key "k", without the body
     And all controllers are killed and restarted
     And attempt "two" claims key "k" through controller 3
     Then the last result is "done" with "served by one"
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -277,7 +277,7 @@
   },
 );
 When(
-  "every controller is told again that attempt {string} has completed key {string}, without the body",
+  "every controller is told that attempt {string} has completed key {string}, without the body",
   async (token: string, key: string) => {
     const answer = { status: 200, heads: [], body: undefined };
     for (const { keyTable } of current().running.values())
--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -113,6 +113,16 @@
     When a client posts 50000 bytes to "/unsafe/x"
     Then the response is 200 with the worker's body, seal and X-Mark header
 
+  # Guards against a repeat that is refused as at work although its operation has ended.
+  Scenario: A keyed response that is too large to be stored is sent whole, and its repeat is told to retry later
+    Given a worker "w1" that responds correctly
+    And worker "w1" has a response body of 900000 bytes
+    When a client posts with the key "k"
+    Then the response is 200 with all 900000 bytes
+    When a client posts with the key "k"
+    Then the response is 503 with Retry-After
+    And all workers together received 1 request
+
   Scenario: A response larger than the buffer memory is streamed completely
     Given a worker "w1" that responds correctly
     And worker "w1" has a response body of 900000 bytes
--- a/fuzz/proxy-harness.ts
+++ b/fuzz/proxy-harness.ts
@@ -48,6 +48,14 @@
     },
   });
 
+/** What a repeat is told: the stored response, or why there is none. */
+const responseOf = (answer: unknown): Message => {
+  if (answer === undefined) return { kind: "claim", verdict: "working" };
+  return asRecord(answer)["body"] === undefined
+    ? { kind: "claim", verdict: "unavailable" }
+    : { kind: "claim", verdict: "done", answer };
+};
+
 /** An in-memory idempotency key service: the token that holds each key, and the stored response. */
 export class InMemoryKeyService {
   readonly claims = new Map<string, { readonly token: string; answer: unknown }>();
@@ -64,10 +72,7 @@
       this.claims.set(key, { token, answer: message["answer"] });
       return { kind: "claim", kept: true };
     }
-    if (existing && existing.token !== token)
-      return existing.answer === undefined
-        ? { kind: "claim", verdict: "working" }
-        : { kind: "claim", verdict: "done", answer: existing.answer };
+    if (existing && existing.token !== token) return responseOf(existing.answer);
     this.claims.set(key, { token, answer: undefined });
     return { kind: "claim", verdict: "won" };
   };
--- a/src/idempotency/key-client.ts
+++ b/src/idempotency/key-client.ts
@@ -6,7 +6,13 @@
 import { asRecord, isRecord, readList, asString, readNumber } from "../common/decode.js";
 import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
 import type { Message } from "../transport/connection.js";
-import { KEY_MESSAGE, packReleaseAll, readStored } from "./key-codec.js";
+import {
+  KEY_MESSAGE,
+  packReleaseAll,
+  packStoredResponse,
+  readStored,
+  type StoredResponse,
+} from "./key-codec.js";
 import { TokenReleases } from "./token-releases.js";
 
 /** The response of a key's first run, as stored and returned to repeated requests. */
@@ -46,6 +52,8 @@
   };
 };
 
+const sizeOf = ({ body }: StoredResponse): number => body?.length ?? 0;
+
 /** Claims idempotency keys at the controller that this gateway has a session with. */
 export class IdempotencyClient {
   private readonly releases: TokenReleases;
@@ -81,15 +89,16 @@
 
   /**
    * Stores the response of a key's run; false if that was not confirmed within `waitUs`. It is then
-   * repeated in the background, since the caller may send the response to its client meanwhile.
+   * repeated in the background, since the caller may send the response to its client meanwhile. A
+   * response without its body only says that the operation has completed.
    */
   readonly complete = (
     key: string,
     token: string,
-    answer: KeyedResponse,
+    answer: StoredResponse,
     waitUs: number,
   ): Promise<boolean> => {
-    const hasRoom = this.unstoredBytes + answer.body.length <= MAX_UNSTORED_BYTES;
+    const hasRoom = this.unstoredBytes + sizeOf(answer) <= MAX_UNSTORED_BYTES;
     const stored = this.storeRepeatedly(key, token, answer, hasRoom ? MAX_STORE_US : waitUs);
     return withTimeout(this.clock, waitUs, stored, false);
   };
@@ -97,21 +106,26 @@
   private readonly storeRepeatedly = async (
     key: string,
     token: string,
-    answer: KeyedResponse,
+    answer: StoredResponse,
     maxUs: number,
   ): Promise<boolean> => {
     const untilUs = this.clock.nowUs() + maxUs;
-    const message = { kind: KEY_MESSAGE.complete, key, token, answer };
+    const message = {
+      kind: KEY_MESSAGE.complete,
+      key,
+      token,
+      answer: packStoredResponse(answer),
+    };
     let delayUs = RETRY_DELAY_US;
     let isStored = false;
-    this.unstoredBytes += answer.body.length;
+    this.unstoredBytes += sizeOf(answer);
     for (;;) {
       isStored = readStored(await this.request(message, STORE_TIMEOUT_US));
       if (isStored || this.clock.nowUs() + delayUs >= untilUs) break;
       await sleep(this.clock, delayUs);
       delayUs = Math.min(delayUs * RETRY_DELAY_GROWTH, MAX_RETRY_DELAY_US);
     }
-    this.unstoredBytes -= answer.body.length;
+    this.unstoredBytes -= sizeOf(answer);
     return isStored;
   };
 }
--- a/src/idempotency/response-replication.ts
+++ b/src/idempotency/response-replication.ts
@@ -40,12 +40,15 @@
 export class ResponseReplication {
   constructor(private readonly options: ResponseReplicationOptions) {}
 
-  /** Stores the response of a key's run; false if too few members stored it in time. */
+  /**
+   * Stores the response of a key's run, or, without a body, that it has completed; false if too few
+   * members stored it in time.
+   */
   readonly store = async (key: string, token: string, answer: StoredResponse): Promise<boolean> => {
     const { store, isConnected, withstandMachines } = this.options;
     const isSmall = (answer.body?.length ?? 0) <= SMALL_BODY_BYTES;
     const targets = targetMembers(store);
-    const copies = bodyCopies(targets, withstandMachines);
+    const copies = answer.body ? bodyCopies(targets, withstandMachines) : 0;
     const ranked = isSmall ? targets : rankHolders(key, targets);
     const members = [...ranked, ...store.members().filter((id) => !ranked.includes(id))];
     const preferred = [...members].sort((a, b) => Number(isConnected(b)) - Number(isConnected(a)));
--- a/src/proxy/keyed-requests.ts
+++ b/src/proxy/keyed-requests.ts
@@ -5,7 +5,8 @@
 import { sleep, withTimeout, type Clock } from "../common/clock.js";
 import { MILLISECOND_US, SECOND_US } from "../common/duration.js";
 import type { OutcomeName } from "../common/http-outcomes.js";
-import type { IdempotencyClient, KeyedResponse } from "../idempotency/key-client.js";
+import type { IdempotencyClient } from "../idempotency/key-client.js";
+import type { StoredResponse } from "../idempotency/key-codec.js";
 import { ATTEMPT_ID_HEADER, forwardedHeaders, IDEMPOTENCY_KEY_HEADER } from "./headers.js";
 import type { RequestContext } from "./request-context.js";
 import type { ResponseWriter } from "./response-writer.js";
@@ -130,14 +131,18 @@
   readonly isClaimed = ({ claim }: RequestContext): boolean =>
     claim !== undefined && this.options.clock.nowUs() - claim.requestedUs <= MAX_CLAIM_AGE_US;
 
-  /** Stores the response for repeated requests, before it is sent to the client. */
+  /**
+   * Stores the response for repeated requests, before it is sent to the client. Of a response that
+   * is too large to be buffered, only the completion is stored: repeats are then told that the
+   * response is unavailable, not that the operation is in progress.
+   */
   readonly store = async (context: RequestContext, response: UpstreamResponse): Promise<void> => {
     const { idempotency, clock } = this.options;
-    if (!idempotency || !context.claim || response.remainder) return;
-    const stored: KeyedResponse = {
+    if (!idempotency || !context.claim) return;
+    const stored: StoredResponse = {
       status: response.status,
       heads: forwardedHeaders(response.headers, NOT_STORED),
-      body: response.body,
+      body: response.remainder ? undefined : response.body,
     };
     const targetLeftUs = context.arrivedUs + (context.route?.latencyTargetUs ?? 0) - clock.nowUs();
     const waitUs = Math.max(targetLeftUs * STORE_TARGET_FRACTION, MIN_STORE_WAIT_US);
