--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,6 +30,10 @@
       | a draining gateway aborts a request                         | drains-cut-nothing     |
       | a process exits unexpectedly                                | exits-are-asked        |
       | a process takes too long to exit                            | exits-are-asked        |
+      | a keyed operation is executed again for a repeat            | keys-run-once          |
+      | a keyed operation is executed and its client gets 503       | keys-run-once          |
+      | a repeat gets another response than the first one           | repeats-agree          |
+      | repeats of answered keys are refused as in progress         | answers-are-kept       |
 
   Scenario: Observations during a delay of the host machine are skipped and counted
     Given a recorded history
--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -4,13 +4,16 @@
 import {
   HistoryRecorder,
   type History,
+  type KeyedRequestRecord,
   type ReadRecord,
   type RequestRecord,
 } from "../../soak/history.js";
+import { keyedAnswerTo, keyOf } from "../../soak/keyed-client.js";
 import { drawSchedule } from "../../soak/schedule.js";
 import { runSoak } from "../../soak/soak-run.js";
 
 const SECOND = 1_000_000;
+const KEYS = ["k1", "k2", "k3", "k4"] as const;
 
 let history = new HistoryRecorder();
 let recorded: History | undefined;
@@ -36,7 +39,8 @@
 });
 Then("requests, executions, changes, reads and faults were recorded", () => {
   const { requests = [], runs = [], changes = [], reads = [], faults = [] } = recorded ?? {};
-  [requests, runs, changes, reads, faults].forEach((records, at) =>
+  const { keyedRequests = [] } = recorded ?? {};
+  [requests, runs, changes, reads, faults, keyedRequests].forEach((records, at) =>
     assert.ok(records.length > 0, `list ${at + 1} is empty`),
   );
 });
@@ -51,7 +55,7 @@
 Then(
   "no fault of seeds {int} to {int} begins in the last {int} seconds",
   (first: number, last: number, seconds: number) => {
-    const faults = ["terminate", "kill", "freeze", "kill-all-controllers"];
+    const faults = ["terminate", "kill", "freeze", "kill-all-controllers", "lose-disk"];
     for (let seed = first; seed <= last; seed += 1)
       drawSchedule(seed, 30_000)
         .actions.filter(({ kind }) => faults.includes(kind))
@@ -71,6 +75,20 @@
   body: `answer to ${attemptId}`,
   ...changes,
 });
+const keyedRequestOf = (
+  attemptId: string,
+  changes: Partial<KeyedRequestRecord> = {},
+): KeyedRequestRecord => ({
+  key: keyOf(attemptId),
+  attemptId,
+  gateway: "gateway-1",
+  sentUs: 20 * SECOND,
+  endedUs: 20 * SECOND + 30_000,
+  status: 200,
+  hasSeal: true,
+  body: keyedAnswerTo(`${keyOf(attemptId)}#1`),
+  ...changes,
+});
 const readOf = (changes: Partial<ReadRecord> = {}): ReadRecord => ({
   controller: "controller-1",
   startUs: 21 * SECOND,
@@ -98,6 +116,16 @@
     // The previous version is still allowed until `applyUs` after the acknowledgement.
     { attemptId: "q", service: "s0", atUs: 12 * SECOND },
   );
+  history.keyedRequests.push(
+    ...KEYS.map((key) => keyedRequestOf(`${key}#1`)),
+    keyedRequestOf("k1#2", { sentUs: 24 * SECOND, endedUs: 24 * SECOND }),
+    // Until a second after the response, and for a few keys later, a repeat may be refused.
+    keyedRequestOf("k2#2", { sentUs: 20.5 * SECOND, status: 409, hasSeal: false, body: "" }),
+    keyedRequestOf("k3#2", { sentUs: 24 * SECOND, status: 409, hasSeal: false, body: "" }),
+  );
+  history.runs.push(
+    ...KEYS.map((key) => ({ attemptId: `${key}#1`, service: "s0", atUs: 20 * SECOND })),
+  );
   history.reads.push(readOf());
   history.faults.push(
     { process: "gateway-2", kind: "term", fromUs: 30 * SECOND, toUs: 34 * SECOND },
@@ -109,6 +137,20 @@
   );
 });
 
+/** Repeats of all keys, four seconds after they were answered, are refused as in progress. */
+const refuseRepeats = (): void =>
+  KEYS.forEach((key) =>
+    history.keyedRequests.push(
+      keyedRequestOf(`${key}#3`, {
+        sentUs: 24 * SECOND,
+        endedUs: 24 * SECOND,
+        status: 409,
+        hasSeal: false,
+        body: "",
+      }),
+    ),
+  );
+
 const addStaleProbe = (): void => {
   history.requests.push(
     requestOf("stale", { isProbe: true, isSafe: true, sentUs: 25 * SECOND, endedUs: 25 * SECOND }),
@@ -117,6 +159,15 @@
 };
 
 const DEFECTS: Readonly<Record<string, () => void>> = {
+  "a keyed operation is executed again for a repeat": () =>
+    void history.runs.push({ attemptId: "k1#2", service: "s0", atUs: 24 * SECOND }),
+  "a keyed operation is executed and its client gets 503": () => {
+    history.keyedRequests.push(keyedRequestOf("k9#1", { status: 503, hasSeal: false, body: "" }));
+    history.runs.push({ attemptId: "k9#1", service: "s0", atUs: 20 * SECOND });
+  },
+  "a repeat gets another response than the first one": () =>
+    void history.keyedRequests.push(keyedRequestOf("k1#3", { body: keyedAnswerTo("k1#3") })),
+  "repeats of answered keys are refused as in progress": refuseRepeats,
   "an unsafe request is executed twice": () =>
     void history.runs.push({ attemptId: "a", service: "s0", atUs: 20 * SECOND }),
   "an unsafe request is executed and its client gets 503": () =>
--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -6,4 +6,8 @@
   applyUs: 2_000_000,
   contactUs: 3_000_000,
   confirmUs: 4_000_000,
+  catchUpUs: 6_000_000,
+  keyWindowUs: 60_000_000,
+  purgeUs: 2_000_000,
+  staleSlackUs: 2_000_000,
 } as const;
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -3,36 +3,15 @@
  * Some skip observations that may have been caused by delays of the host machine, and count them.
  */
 import { BOUNDS } from "./bounds.js";
-import type { FaultRecord, History, RequestRecord, RunRecord } from "./history.js";
-
-/** Result of one {@link Check}. */
-export interface CheckResult {
-  readonly violations: readonly string[];
-  /** Number of observations that were evaluated. */
-  readonly judged: number;
-  /** Number of observations left out because the host machine was delayed at that time. */
-  readonly skipped: number;
-}
-
-/** Evaluates one invariant over a recorded history. */
-export type Check = (history: History) => CheckResult;
+import { checkEach, formatSeconds, hadControllerContact, overlaps, type Check } from "./check.js";
+import type { History, RequestRecord, RunRecord } from "./history.js";
+import { answersAreKept, keysRunOnce, repeatsAgree } from "./keyed-checks.js";
 
 /** Response statuses which guarantee that the request was not and will not be executed. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** How long a process may take to exit beyond its grace period. */
 const EXIT_SLACK_US = 1_000_000;
 
-const formatSeconds = (us: number): string => `${(us / 1_000_000).toFixed(3)} s`;
-
-const checkEach = <T>(
-  items: readonly T[],
-  findProblem: (item: T) => string | undefined,
-): CheckResult => ({
-  violations: items.flatMap((item) => findProblem(item) ?? []),
-  judged: items.length,
-  skipped: 0,
-});
-
 const groupByAttempt = (runs: readonly RunRecord[]): ReadonlyMap<string, readonly RunRecord[]> => {
   const byAttempt = new Map<string, RunRecord[]>();
   runs.forEach((run) =>
@@ -67,27 +46,6 @@
         : `${attemptId} got "${body}" from ${gateway} (${formatSeconds(sentUs)})`,
   );
 
-const overlaps = (
-  span: { readonly fromUs: number; readonly toUs: number },
-  fromUs: number,
-  toUs: number,
-): boolean => span.fromUs <= toUs && span.toUs >= fromUs;
-
-/**
- * Whether the gateway is expected to have been in contact with the controllers during the request:
- * no fault affected it or any controller from `contactUs` before the request until its end.
- */
-const hadControllerContact = (
-  faults: readonly FaultRecord[],
-  gateway: string,
-  { sentUs, endedUs }: RequestRecord,
-): boolean =>
-  !faults.some(
-    (fault) =>
-      (fault.process === gateway || fault.process.startsWith("controller")) &&
-      overlaps(fault, sentUs - BOUNDS.contactUs, endedUs),
-  );
-
 /**
  * Services that may handle a probe request. Excluded are versions older than the newest one
  * acknowledged more than `applyUs` before the request, and versions sent only after its end.
@@ -204,4 +162,7 @@
   "reads-are-current": readsAreCurrent,
   "drains-cut-nothing": drainsCutNothing,
   "exits-are-asked": exitsAreAsked,
+  "keys-run-once": keysRunOnce,
+  "repeats-agree": repeatsAgree,
+  "answers-are-kept": answersAreKept,
 };
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -17,6 +17,19 @@
   readonly body: string;
 }
 
+/** A client's request with an idempotency key and its outcome. */
+export interface KeyedRequestRecord {
+  readonly key: string;
+  readonly attemptId: string;
+  readonly gateway: string;
+  readonly sentUs: number;
+  readonly endedUs: number;
+  /** Undefined if no complete response arrived. */
+  readonly status: number | undefined;
+  readonly hasSeal: boolean;
+  readonly body: string;
+}
+
 /** The start of a request's execution by a worker. */
 export interface RunRecord {
   readonly attemptId: string;
@@ -60,7 +73,7 @@
 /** A fault injected into a process, from its begin until the process was up again. */
 export interface FaultRecord {
   readonly process: string;
-  readonly kind: "term" | "kill" | "stop" | "start";
+  readonly kind: "term" | "kill" | "stop" | "start" | "wipe";
   readonly fromUs: number;
   readonly toUs: number;
 }
@@ -74,6 +87,7 @@
 /** All records of one run. */
 export interface History {
   readonly requests: readonly RequestRecord[];
+  readonly keyedRequests: readonly KeyedRequestRecord[];
   readonly runs: readonly RunRecord[];
   readonly changes: readonly ChangeRecord[];
   readonly largeChanges: readonly LargeChangeRecord[];
@@ -86,6 +100,7 @@
 /** Collects the records during a run. */
 export class HistoryRecorder implements History {
   readonly requests: RequestRecord[] = [];
+  readonly keyedRequests: KeyedRequestRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly changes: ChangeRecord[] = [];
   readonly largeChanges: LargeChangeRecord[] = [];
--- a/soak/http-call.ts
+++ b/soak/http-call.ts
@@ -1,9 +1,10 @@
 /** HTTP calls to the programs under test. */
-import { request } from "node:http";
+import { request, type IncomingHttpHeaders } from "node:http";
 
 /** The response to a call. */
 export interface ApiReply {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: string;
 }
 
@@ -14,11 +15,16 @@
   path: string,
   body: string,
   timeoutMs: number,
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<ApiReply | undefined> =>
   new Promise((resolve) => {
     const call = request(
       `http://${address}${path}`,
-      { method, agent: false, headers: { "Content-Length": Buffer.byteLength(body) } },
+      {
+        method,
+        agent: false,
+        headers: { ...headers, "Content-Length": Buffer.byteLength(body) },
+      },
       (response) => {
         const chunks: Buffer[] = [];
         response.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -26,7 +32,11 @@
         response.on("close", () =>
           resolve(
             response.complete
-              ? { status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }
+              ? {
+                  status: response.statusCode ?? 0,
+                  headers: response.headers,
+                  body: Buffer.concat(chunks).toString(),
+                }
               : undefined,
           ),
         );
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -2,12 +2,14 @@
 import { asRecord, parseJson, readList, readNumber, readString } from "../src/common/decode.js";
 import { CLIENT_ROUTES } from "./client.js";
 import type { HistoryRecorder } from "./history.js";
+import { KEYED_PATH } from "./keyed-client.js";
 import { callApi, type ApiReply } from "./http-call.js";
 import type { Program } from "./program.js";
 import type { SeededRandom } from "../simulator/seeded-random.js";
 
 const HOST = "soak.example";
 const PROBE_ROUTE = "r-probe";
+const KEYED_ROUTE = "r-keyed";
 const CALL_TIMEOUT_MS = 1_500;
 const MAX_CALLS = 8;
 const RETRY_PAUSE_MS = 200;
@@ -27,10 +29,10 @@
   name: string,
   version: number,
   service: string,
-  { path, isSafe }: { readonly path: string; readonly isSafe: boolean },
+  { path, kind }: { readonly path: string; readonly kind: "safe" | "unsafe" | "keyed" },
 ) => ({
   name,
-  routeKind: isSafe ? "safe" : "unsafe",
+  routeKind: kind,
   target_time: "500ms",
   rank: 1,
   version,
@@ -53,9 +55,15 @@
     const { services, history, nowUs } = this.options;
     const [service = ""] = services;
     const sentUs = nowUs();
-    const rules = CLIENT_ROUTES.map((route, at) =>
-      makeRule(this.routeNames[at] ?? "", this.version, service, route),
-    );
+    const rules = [
+      ...CLIENT_ROUTES.map((route, at) =>
+        makeRule(this.routeNames[at] ?? "", this.version, service, {
+          path: route.path,
+          kind: route.isSafe ? "safe" : "unsafe",
+        }),
+      ),
+      makeRule(KEYED_ROUTE, this.version, service, { path: KEYED_PATH, kind: "keyed" }),
+    ];
     const groups = services.map((name) => ({
       name,
       statusPath: "/health",
@@ -89,7 +97,7 @@
     const probe = CLIENT_ROUTES.findIndex(({ isProbe }) => isProbe);
     const route = CLIENT_ROUTES[probe];
     if (!route) return false;
-    const rules = [makeRule(PROBE_ROUTE, version, service, route)];
+    const rules = [makeRule(PROBE_ROUTE, version, service, { path: route.path, kind: "safe" })];
     const acknowledgedUs = await this.send({ putItems: { listeners: [{ host: HOST, rules }] } });
     history.changes.push({ version, service, sentUs, acknowledgedUs });
     return acknowledgedUs !== undefined;
@@ -102,7 +110,7 @@
     const { version } = this;
     const names = Array.from({ length: count }, (_, at) => `r-large-${version}-${at}`);
     const rules = names.map((name) =>
-      makeRule(name, version, services[0] ?? "", { path: `/${name}/`, isSafe: true }),
+      makeRule(name, version, services[0] ?? "", { path: `/${name}/`, kind: "safe" }),
     );
     const acknowledgedUs = await this.send({ putItems: { listeners: [{ host: HOST, rules }] } });
     history.largeChanges.push({ routes: names, acknowledgedUs });
@@ -110,7 +118,7 @@
 
   /** Sends an invalid change. Resolves to true if it was rejected or never answered. */
   readonly sendInvalid = async (): Promise<boolean> => {
-    const rules = [makeRule("r-wrong", 1, "no-such-service", { path: "/wrong/", isSafe: true })];
+    const rules = [makeRule("r-wrong", 1, "no-such-service", { path: "/wrong/", kind: "safe" })];
     return (await this.send({ putItems: { listeners: [{ host: HOST, rules }] } })) === undefined;
   };
 
--- a/soak/program.ts
+++ b/soak/program.ts
@@ -1,7 +1,7 @@
 /** A program under test: a real process with its own settings file and data folder. */
 import { spawn, type ChildProcess } from "node:child_process";
 import { createWriteStream, type WriteStream } from "node:fs";
-import { mkdir, writeFile } from "node:fs/promises";
+import { mkdir, rm, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { stringify } from "smol-toml";
 import { BOUNDS } from "./bounds.js";
@@ -49,6 +49,7 @@
       firstRun,
       heartbeat: formatMs(BOUNDS.heartbeatUs),
       dataFolder: isGateway ? "" : join(folder, "data"),
+      deployment: "content",
     },
     cells: Object.fromEntries(zones.map((other) => [other, "r1"])),
     listen: {
@@ -68,6 +69,9 @@
       retryRatio: 0.2,
       retryWindow: RETRY_WINDOW,
       retrySlack: 50,
+      keyWindow: formatMs(BOUNDS.keyWindowUs),
+      purge: formatMs(BOUNDS.purgeUs),
+      staleSlack: formatMs(BOUNDS.staleSlackUs),
     },
   });
 };
@@ -158,6 +162,10 @@
     await this.exited;
   };
 
+  /** Deletes the data folder, as the loss of the machine's disk does. The process must not run. */
+  readonly loseDisk = (): Promise<void> =>
+    rm(join(this.options.folder, "data"), { recursive: true, force: true });
+
   /** Suspends the process until {@link thaw}, as a pause of its machine would. */
   readonly freeze = (): void => void this.child?.kill("SIGSTOP");
 
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -5,6 +5,7 @@
 export type Action =
   | { readonly kind: "move-probe" | "add-routes" | "send-invalid" | "read"; readonly atMs: number }
   | { readonly kind: "kill-all-controllers"; readonly atMs: number }
+  | { readonly kind: "lose-disk"; readonly atMs: number; readonly slot: number }
   | {
       readonly kind: "terminate" | "kill" | "freeze";
       readonly atMs: number;
@@ -22,6 +23,9 @@
 const MEAN_CHANGE_INTERVAL_MS = 900;
 const MEAN_READ_INTERVAL_MS = 400;
 const MEAN_FAULT_INTERVAL_MS = 2_500;
+/** Probability that controllers lose their disks in turn during a run. */
+const DISK_LOSSES_PROBABILITY = 0.4;
+const MEAN_DISK_LOSS_INTERVAL_MS = 6_000;
 /** No fault begins this close to the end, so that all programs are up again for the final reads. */
 const FAULT_FREE_END_MS = 6_000;
 const FAULTS = ["terminate", "kill", "freeze"] as const;
@@ -55,6 +59,13 @@
   return { kind: random.occurs(INVALID_PROBABILITY) ? "send-invalid" : "move-probe", atMs };
 };
 
+const drawDiskLosses = (durationMs: number, random: SeededRandom): readonly Action[] =>
+  random.occurs(DISK_LOSSES_PROBABILITY)
+    ? drawTimesMs(MEAN_DISK_LOSS_INTERVAL_MS, durationMs - FAULT_FREE_END_MS, random).map(
+        (atMs): Action => ({ kind: "lose-disk", atMs, slot: random.integer(0, MAX_SLOT) }),
+      )
+    : [];
+
 /** Draws a schedule; the same seed and duration give the same schedule. */
 export const drawSchedule = (seed: number, durationMs: number): SoakSchedule => {
   const random = new SeededRandom(seed);
@@ -69,6 +80,7 @@
     ...drawTimesMs(MEAN_FAULT_INTERVAL_MS, durationMs - FAULT_FREE_END_MS, random).map((atMs) =>
       drawFault(atMs, random),
     ),
+    ...drawDiskLosses(durationMs, random),
   ];
   return { seed, durationMs, actions: actions.sort((one, other) => one.atMs - other.atMs) };
 };
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -8,6 +8,7 @@
 import { PipeliningClient } from "./pipelining-client.js";
 import { HistoryRecorder, type FaultRecord, type History } from "./history.js";
 import { callApi } from "./http-call.js";
+import { KeyedClient } from "./keyed-client.js";
 import { Operator } from "./operator.js";
 import { Program } from "./program.js";
 import { SeededRandom } from "../simulator/seeded-random.js";
@@ -15,6 +16,9 @@
 import { Worker } from "./worker.js";
 
 const CONTROLLERS = 3;
+/** Second byte of the run's loopback addresses. */
+const FIRST_SUBNET = 100;
+const SUBNETS = 100;
 const SERVICES = ["s0", "s1", "s2", "s3"] as const;
 const WORKERS_PER_SERVICE = 2;
 const CLIENT_INTERVAL_MS = 40;
@@ -23,6 +27,8 @@
 const RESTART_MS = 300;
 const START_TIMEOUT_MS = 20_000;
 const POLL_MS = 100;
+/** A disk loss that has to wait any longer is left out, so that none comes near the end. */
+const MAX_DISK_LOSS_DELAY_US = 4_000_000;
 const DELAY_CHECK_MS = 50;
 /** A timer of the test process that fires this late shows that the host machine was delayed. */
 const MACHINE_DELAY_US = 250_000;
@@ -57,7 +63,10 @@
   readonly gateways: readonly Program[];
   readonly operator: Operator;
   private readonly workers: readonly Worker[];
-  private readonly clients: readonly (Client | PipeliningClient)[];
+  private readonly clients: readonly (Client | PipeliningClient | KeyedClient)[];
+  private readonly keyedClient: KeyedClient;
+  /** Until when no other controller may fail, since one has lost its disk. */
+  private diskRepairUntilUs = 0;
   private readonly random: SeededRandom;
   private readonly faultyPrograms = new Set<Program>();
   private delayTimer: NodeJS.Timeout | undefined;
@@ -67,7 +76,8 @@
     const { history } = this;
     this.random = new SeededRandom(seed + 1_000_000);
     const zones = ["z1", "z2", "z3"];
-    const subnet = 100 + (seed % 100);
+    // Two runs of one seed at the same time must not share addresses.
+    const subnet = FIRST_SUBNET + ((seed + process.pid) % SUBNETS);
     const controllerIps = Array.from(
       { length: CONTROLLERS },
       (_, at) => `127.${subnet}.0.${at + 1}`,
@@ -104,10 +114,14 @@
           }),
       ),
     );
-    this.clients = this.gateways.flatMap((gateway) => [
-      new Client({ gateway, history, nowUs, random, seed, intervalMs: CLIENT_INTERVAL_MS }),
-      new PipeliningClient({ gateway, history, nowUs, seed }),
-    ]);
+    this.keyedClient = new KeyedClient({ gateways: this.gateways, history, nowUs, random, seed });
+    this.clients = [
+      ...this.gateways.flatMap((gateway) => [
+        new Client({ gateway, history, nowUs, random, seed, intervalMs: CLIENT_INTERVAL_MS }),
+        new PipeliningClient({ gateway, history, nowUs, seed }),
+      ]),
+      this.keyedClient,
+    ];
   }
 
   /** Starts everything. Throws if a gateway is not ready in time. */
@@ -135,6 +149,7 @@
     await pause(Math.max(0, startMs + durationMs - nowUs() / 1_000));
     await Promise.all(running);
     this.clients.forEach((client) => client.stop());
+    await this.keyedClient.repeatAll();
     for (const controller of this.controllers) await this.operator.read(controller);
   };
 
@@ -164,6 +179,11 @@
         await operator.moveProbe();
         await Promise.all(controllers.map((controller) => this.injectFault(controller, "kill")));
         return;
+      case "lose-disk": {
+        const controller = controllers[action.slot % controllers.length];
+        if (controller) await this.loseDiskWhenAllowed(controller);
+        return;
+      }
       default: {
         const programs = action.role === "gateway" ? this.gateways : controllers;
         const program = programs[action.slot % programs.length];
@@ -178,11 +198,12 @@
    */
   private readonly injectFault = async (
     program: Program,
-    action: "terminate" | "kill" | "freeze",
+    action: "terminate" | "kill" | "freeze" | "wipe",
   ): Promise<void> => {
-    if (this.faultyPrograms.has(program)) return;
+    if (this.faultyPrograms.has(program) || this.isSpared(program)) return;
+    if (action === "wipe") this.diskRepairUntilUs = Number.POSITIVE_INFINITY;
     this.faultyPrograms.add(program);
-    const kinds = { terminate: "term", kill: "kill", freeze: "stop" } as const;
+    const kinds = { terminate: "term", kill: "kill", freeze: "stop", wipe: "wipe" } as const;
     const fault = { process: program.name, kind: kinds[action], fromUs: nowUs() };
     const ongoing: FaultRecord = { ...fault, toUs: Number.POSITIVE_INFINITY };
     this.history.faults.push(ongoing);
@@ -191,7 +212,8 @@
       await pause(FREEZE_MS);
       program.thaw();
     } else {
-      await (action === "kill" ? program.kill() : program.terminate());
+      await (action === "terminate" ? program.terminate() : program.kill());
+      if (action === "wipe") await program.loseDisk();
       await pause(RESTART_MS);
       await program.start(false);
       await this.waitUntilUp(program);
@@ -199,8 +221,28 @@
     const { faults } = this.history;
     faults[faults.indexOf(ongoing)] = { ...fault, toUs: nowUs() };
     this.faultyPrograms.delete(program);
+    if (action === "wipe") this.diskRepairUntilUs = nowUs() + BOUNDS.catchUpUs;
+  };
+
+  /** Waits until the disk lost before has been repaired; gives up after a while. */
+  private readonly loseDiskWhenAllowed = async (controller: Program): Promise<void> => {
+    const untilUs = nowUs() + MAX_DISK_LOSS_DELAY_US;
+    while (!this.mayLoseDisk()) {
+      if (nowUs() > untilUs) return;
+      await pause(POLL_MS);
+    }
+    await this.injectFault(controller, "wipe");
   };
 
+  /** Whether a controller must not fail now, since another one has lost its disk. */
+  private readonly isSpared = (program: Program): boolean =>
+    program.options.role === "controller" && nowUs() < this.diskRepairUntilUs;
+
+  /** Whether all controllers are up, and have been for as long as the repair of a disk may take. */
+  private readonly mayLoseDisk = (): boolean =>
+    nowUs() >= this.diskRepairUntilUs &&
+    !this.controllers.some((controller) => this.faultyPrograms.has(controller));
+
   private readonly waitUntilUp = (program: Program): Promise<void> =>
     program.options.role === "gateway"
       ? this.waitUntilReady(program)
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import type { HistoryRecorder } from "./history.js";
 import { callApi } from "./http-call.js";
+import { KEYED_PATH, keyedAnswerTo } from "./keyed-client.js";
 import type { SeededRandom } from "../simulator/seeded-random.js";
 
 const MAX_WORK_MS = 60;
@@ -92,7 +93,8 @@
       () => {
         if (isLost) response.destroy();
         else {
-          const body = `answer to ${attemptId}`;
+          const isKeyed = request.url?.startsWith(KEYED_PATH) === true;
+          const body = isKeyed ? keyedAnswerTo(attemptId) : `answer to ${attemptId}`;
           response
             .writeHead(200, {
               "Yewreel-Server-Seal": "s",
