--- a/chaos/journal.ts
+++ b/chaos/journal.ts
@@ -46,7 +46,9 @@
   const counts = Object.fromEntries(
     Object.keys(rules).map((rule) => [rule, readNumber(rules, rule)]),
   );
-  const others = readList(day, "short", asString).filter((why) => !why.startsWith("fault:"));
+  // A day that could not start has no findings at all.
+  const findings = day["short"] === null ? [] : readList(day, "short", asString);
+  const others = findings.filter((why) => !why.startsWith("fault:"));
   const acks = others.filter((why) => MISSING_ACKNOWLEDGEMENT.test(why)).length;
   const belowFloor = others.length - acks;
   return {
--- a/features/steps/chaos.ts
+++ b/features/steps/chaos.ts
@@ -308,7 +308,7 @@
           name,
           seed,
           rules,
-          short: [],
+          short: fault === undefined ? [] : null,
           troubles: ["node_kill"],
           fault: fault ?? null,
         })),
