A repeat is refused as in progress only if no controller knows that the operation has completed

What callers could see: 409 for a key that had been answered, for as long as a controller that had lost its disk was catching up.

Cause: found by reading. A claim is decided once too few replicas can still take it. A replica that does not vote yet answers that it takes none, without saying whether it knows a response; with two of these, and replicas that had missed the completion, no one of those heard knew of it.

Change: before a repeat is refused, all members are asked for the response. A member whose response to a read is malformed counts as refused instead of ending the read with an unhandled rejection, and message kinds are looked up in a map.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -162,6 +162,18 @@
     And attempt "two" claims key "k" through controller 2
     Then the last result is "unavailable"
 
+  # Guards against 409 for an answered key: those that took part in the claim knew of no response, one
+  # because its disk was just lost, the others because they had missed it.
+  Scenario: A response is found although the replicas that refuse the repeat do not know it
+    When attempt "one" claims key "k" through controller 1
+    And controllers 4 and 5 are partitioned
+    And attempt "one" stores the response "served by one" through controller 1
+    And controllers 4 and 5 are reconnected
+    And controllers 1 and 2 lose their disks and restart
+    And claims do not reach controller 3
+    And attempt "two" claims key "k" through controller 4
+    Then the last result is "done" with "served by one"
+
   # Guards against repeated calls that store a response at other members than the first one did.
   Scenario: A response that is stored again without its body keeps the body
     When attempt "one" claims key "k" through controller 1
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -327,6 +327,10 @@
 When(/^controllers (.*) are partitioned$/, (list: string) =>
   list.match(/\d/g)?.forEach((number) => current().partitioned.add(`b${number}`)),
 );
+When("controllers 4 and 5 are reconnected", () => current().partitioned.clear());
+When("claims do not reach controller {int}", (number: number) => {
+  current().dropsMessage = (to, { kind }) => to === `b${number}` && kind === KEY_MESSAGE.claim;
+});
 When(
   "controller {int} is reconnected and controller {int} is killed",
   async (reconnected: number, killed: number) => {
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -89,7 +89,7 @@
   readonly purges: PurgeReplication;
   readonly responses: ResponseReplication;
   readonly repair: ResponseRepair;
-  private readonly handlers: Readonly<Record<string, KeyRequestHandler>>;
+  private readonly handlers: ReadonlyMap<string, KeyRequestHandler>;
   private readonly readQuorum: ReadQuorum;
 
   constructor(private readonly options: IdempotencyKeyReplicationOptions) {
@@ -99,22 +99,28 @@
     this.repair = new ResponseRepair(options);
     this.purges = new PurgeReplication({ ...options, isVoting, readQuorum: this.readQuorum });
     const source = new KeyTableSource({ ...options, isVoting });
-    this.handlers = {
-      [KEY_MESSAGE.claim]: this.handleClaim,
-      [KEY_MESSAGE.release]: this.handleRelease,
-      [KEY_MESSAGE.releaseAll]: async (message) =>
-        packStored(await this.releaseLocally(readReleaseAll(message))),
-      [KEY_MESSAGE.complete]: this.responses.handleStore,
-      [KEY_MESSAGE.readResponse]: this.responses.handleFetch,
-      [KEY_MESSAGE.refresh]: this.handleRefresh,
-      [KEY_MESSAGE.addPurge]: async (message) =>
-        packStored(await this.purges.addLocally(readPurgeRow(message))),
-      [KEY_MESSAGE.readPurges]: (message) =>
-        this.purges.respond(readList(message, "ids", asString)),
-      [KEY_MESSAGE.readTable]: source.readTable,
-      [KEY_MESSAGE.listResponses]: source.listResponses,
-      [KEY_MESSAGE.readResponses]: source.readResponses,
-    };
+    this.handlers = new Map<string, KeyRequestHandler>([
+      [KEY_MESSAGE.claim, this.handleClaim],
+      [KEY_MESSAGE.release, this.handleRelease],
+      [
+        KEY_MESSAGE.releaseAll,
+        async (message) => packStored(await this.releaseLocally(readReleaseAll(message))),
+      ],
+      [KEY_MESSAGE.complete, this.responses.handleStore],
+      [KEY_MESSAGE.readResponse, this.responses.handleFetch],
+      [KEY_MESSAGE.refresh, this.handleRefresh],
+      [
+        KEY_MESSAGE.addPurge,
+        async (message) => packStored(await this.purges.addLocally(readPurgeRow(message))),
+      ],
+      [
+        KEY_MESSAGE.readPurges,
+        (message) => this.purges.respond(readList(message, "ids", asString)),
+      ],
+      [KEY_MESSAGE.readTable, source.readTable],
+      [KEY_MESSAGE.listResponses, source.listResponses],
+      [KEY_MESSAGE.readResponses, source.readResponses],
+    ]);
   }
 
   /** Whether this replica accepts claims and counts in quorums. */
@@ -215,7 +221,7 @@
   private readonly decideClaim = async (key: string, token: string): Promise<KeyClaimResult> => {
     const { self, table, store, withstandMachines } = this.options;
     const known = table.findResponse(key);
-    if (known && table.findToken(key) !== token) return this.fetchResponse(key);
+    if (known && table.findToken(key) !== token) return this.answerRepeat(key, true);
     const claimedBy = new Set<string>();
     let otherTokenCount = 0;
     let isCompleted = known !== undefined;
@@ -232,7 +238,7 @@
       CLAIM_TIMEOUT_US,
     );
     if (won.isOk) return { kind: "won" };
-    if (isCompleted) return this.fetchResponse(key);
+    if (isCompleted) return this.answerRepeat(key, true);
     if (otherTokenCount === 0) return { kind: "none" };
     // If no other token can have reached a quorum without the members that accepted this one,
     // neither attempt has won.
@@ -243,7 +249,7 @@
           members.filter((id) => !claimedBy.has(id)).length >=
           quorumSize(members, withstandMachines),
       );
-    return couldOtherTokenHaveWon ? { kind: "working" } : { kind: "split" };
+    return couldOtherTokenHaveWon ? this.answerRepeat(key, false) : { kind: "split" };
   };
 
   /** Releases a token whose operation has not run and never will, without confirmation. */
@@ -278,7 +284,7 @@
    */
   readonly handleRequest = async (message: Message): Promise<Message | undefined> => {
     const rejection = this.options.store.rejectIfOutdated(message);
-    return rejection ?? this.handlers[message.kind]?.(message);
+    return rejection ?? this.handlers.get(message.kind)?.(message);
   };
 
   private readonly handleClaim = async (message: Message): Promise<Message> => {
@@ -309,8 +315,22 @@
     return { result, isCompleted: table.findResponse(key) !== undefined };
   };
 
-  private readonly fetchResponse = async (key: string): Promise<KeyClaimResult> => {
-    const answer = await this.responses.fetch(key);
-    return answer ? { kind: "done", answer } : { kind: "unavailable" };
+  /**
+   * The result for a key that another attempt holds. Where no replica that took part in the claim
+   * knew of a response, the others are asked: one that has just lost its disk may have known it.
+   */
+  private readonly answerRepeat = async (
+    key: string,
+    isCompleted: boolean,
+  ): Promise<KeyClaimResult> => {
+    const found = await this.responses.find(key, isCompleted);
+    switch (found.kind) {
+      case "stored":
+        return { kind: "done", answer: found.answer };
+      case "unavailable":
+        return { kind: "unavailable" };
+      case "unknown":
+        return { kind: "working" };
+    }
   };
 }
--- a/src/idempotency/read-quorum.ts
+++ b/src/idempotency/read-quorum.ts
@@ -17,7 +17,8 @@
 
   /**
    * Queries the other members until those for which `query` resolved to true form a read quorum,
-   * which shares a member with every quorum. This replica counts as well if it votes.
+   * which shares a member with every quorum. This replica counts as well if it votes. A query that
+   * rejects, because a member's response is malformed, counts as refused.
    */
   readonly gather = async (query: (id: string) => Promise<boolean>): Promise<boolean> => {
     const { self, store, withstandMachines } = this.options;
@@ -37,12 +38,16 @@
         if (isReadQuorum()) resolve(true);
         else if (pending === 0) resolve(false);
       };
+      const count = (id: string, isAccepted: boolean) => {
+        pending -= 1;
+        if (isAccepted) responded.add(id);
+        resolveIfDecided();
+      };
       others.forEach((id) => {
-        void query(id).then((isAccepted) => {
-          pending -= 1;
-          if (isAccepted) responded.add(id);
-          resolveIfDecided();
-        });
+        void query(id).then(
+          (isAccepted) => count(id, isAccepted),
+          () => count(id, false),
+        );
       });
       resolveIfDecided();
     });
--- a/src/idempotency/response-replication.ts
+++ b/src/idempotency/response-replication.ts
@@ -30,6 +30,14 @@
   readonly isVoting: () => boolean;
 }
 
+/** What is known of the response of a key. */
+export type FoundResponse =
+  | { readonly kind: "stored"; readonly answer: StoredResponse }
+  /** The operation has completed, but no member returned the body. */
+  | { readonly kind: "unavailable" }
+  /** No member that responded knows that the operation has completed. */
+  | { readonly kind: "unknown" };
+
 /** A body of at most this size is stored at all members. */
 const SMALL_BODY_BYTES = 256;
 
@@ -70,32 +78,34 @@
   };
 
   /**
-   * Fetches the response of a key that is known to be completed from the first member that returns
-   * its body; undefined if none does.
+   * Looks for the response of a key at all members; resolves as soon as one returns its body.
+   *
+   * @param isCompleted - whether the operation is already known to have completed
    */
-  readonly fetch = async (key: string): Promise<StoredResponse | undefined> => {
+  readonly find = async (key: string, isCompleted: boolean): Promise<FoundResponse> => {
     const { self, table, store, request, logger } = this.options;
     const local = table.findResponse(key);
-    if (local?.body) return local;
+    if (local?.body) return { kind: "stored", answer: local };
     const others = store.members().filter((id) => id !== self);
     let answeredCount = 0;
     let withoutBodyCount = 0;
-    const found = await firstDefined(
+    const answer = await firstDefined(
       others.map(async (id) => {
         const reply = await request(id, { kind: KEY_MESSAGE.readResponse, key }, STORE_TIMEOUT_US);
-        const answer = readStoredResponse(reply?.["answer"]);
+        const found = readStoredResponse(reply?.["answer"]);
         if (reply) answeredCount += 1;
-        if (answer && !answer.body) withoutBodyCount += 1;
-        return answer?.body ? answer : undefined;
+        if (found && !found.body) withoutBodyCount += 1;
+        return found?.body ? found : undefined;
       }),
     );
-    if (!found)
-      logger.warn("no replica returned the response of a completed key", {
-        asked: others.length,
-        answered: answeredCount,
-        withoutBody: withoutBodyCount,
-      });
-    return found;
+    if (answer) return { kind: "stored", answer };
+    if (!isCompleted && withoutBodyCount === 0) return { kind: "unknown" };
+    logger.warn("no replica returned the response of a completed key", {
+      asked: others.length,
+      answered: answeredCount,
+      withoutBody: withoutBodyCount,
+    });
+    return { kind: "unavailable" };
   };
 
   /**
