A replica that copies the tables of others goes on where an interrupted copy ended

After two disks were lost and all power, cached and keyed requests failed on, status requests did not: these need controllers whose key tables vote.

--- a/features/idempotency-keys.feature
+++ b/features/idempotency-keys.feature
@@ -196,6 +196,15 @@
     When controller 1 holds 4000 keys without responses
     Then controller 1 sends its 4000 keys in 3 pages, and in one message to an earlier version
 
+  # Guards against a replica that never votes again, since each copy that is interrupted begins anew.
+  Scenario: A replica catches up although every copy of a table is interrupted after one page
+    Given 3 controllers that must withstand the loss of 1, all of them voters
+    When controllers 1 and 2 hold 8000 keys without responses
+    And controller 3 loses its disk and restarts
+    And every second request to a controller for a page of a table is lost
+    And 6 s pass, in which the controllers do their periodic work
+    Then controller 3 votes on claims and holds 8000 keys
+
   # Guards against copies that take the space which answers of accepted claims need.
   Scenario: A replica whose log is nearly full copies no responses, and refuses claims before they run
     Given 3 controllers that must withstand the loss of 2, with logs of 40000 bytes
--- a/features/steps/idempotency-keys.ts
+++ b/features/steps/idempotency-keys.ts
@@ -177,6 +177,27 @@
     assert.ok((await Promise.all(claims)).every((result) => result === "taken"));
   },
 );
+When("controllers 1 and 2 hold {int} keys without responses", async (count: number) => {
+  for (const id of ["b1", "b2"])
+    await Promise.all(
+      Array.from({ length: count }, (_, at) =>
+        current().member(id).keyTable.claim(`key-${at}`, "first"),
+      ),
+    );
+});
+When("every second request to a controller for a page of a table is lost", () => {
+  const counts = new Map<string, number>();
+  current().dropsMessage = (to, { kind }) => {
+    if (kind !== KEY_MESSAGE.readTable) return false;
+    const count = (counts.get(to) ?? 0) + 1;
+    counts.set(to, count);
+    return count % 2 === 0;
+  };
+});
+Then("controller {int} votes on claims and holds {int} keys", (number: number, count: number) => {
+  const { keys, keyTable } = current().member(`b${number}`);
+  assert.deepEqual([keys.isVoting, keyTable.size], [true, count]);
+});
 /** All keys that the rows of a response name. */
 const keysOf = (response: Message | undefined): readonly string[] =>
   readList(response ?? { kind: "" }, "keys", (row) => readKeyRow(row).key);
--- a/features/support/replica-cluster.ts
+++ b/features/support/replica-cluster.ts
@@ -173,7 +173,7 @@
       for (const { store, keys } of [...this.running.values()]) {
         if (!store.isVoting || !store.isMember()) await this.withClock(store.read());
         void keys.catchUp();
-        if (this.repairsResponses) keys.repair.runIfDue();
+        if (this.repairsResponses && keys.isVoting) keys.repair.runIfDue();
       }
       await this.passWithDisks(BACKGROUND_PERIOD_US / 2);
       await this.passWithDisks(BACKGROUND_PERIOD_US / 2);
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -25,6 +25,7 @@
   type KeyClaim,
   type Purge,
   type StoredResponse,
+  type TablePosition,
 } from "./key-codec.js";
 import { KeyTableSource } from "./key-table-source.js";
 import type { IdempotencyKeyTable } from "./key-table.js";
@@ -32,7 +33,7 @@
 import { ReadQuorum } from "./read-quorum.js";
 import { ResponseRepair } from "./response-repair.js";
 import { ResponseReplication } from "./response-replication.js";
-import { CLAIM_TIMEOUT_US, REFRESH_TIMEOUT_US } from "./timeouts.js";
+import { CLAIM_TIMEOUT_US, REFRESH_TIMEOUT_US, REPAIR_TIMEOUT_US } from "./timeouts.js";
 
 /** The result of a claim. Its `kind` is sent to the gateway. */
 export type KeyClaimResult =
@@ -83,6 +84,8 @@
 export class IdempotencyKeyReplication {
   private voting = false;
   private isCatchingUp = false;
+  /** How far the tables of other members have been copied for a refresh that is not complete. */
+  private readonly copiedUpTo = new Map<string, TablePosition>();
   private readonly claimCounts = new Map<KeyClaimResult["kind"], number>();
 
   /** The purges, which are stored in the same table and count under the same condition. */
@@ -186,20 +189,27 @@
   };
 
   /** Copies the tables of a read quorum into this one; true if all of the data is durable here. */
-  private readonly refresh = (): Promise<boolean> => this.readQuorum.gather(this.copyTableOf);
+  private readonly refresh = async (): Promise<boolean> => {
+    const isCopied = await this.readQuorum.gather(this.copyTableOf);
+    if (isCopied) this.copiedUpTo.clear();
+    return isCopied;
+  };
 
-  /** Copies the table of a member page by page; false if it does not respond or does not vote. */
+  /**
+   * Copies the table of a member page by page; false if it does not respond or does not vote. A
+   * further call for the same refresh goes on behind the last page that was copied.
+   */
   private readonly copyTableOf = async (id: string): Promise<boolean> => {
     const { table, store, request } = this.options;
-    let position = TABLE_START;
     for (;;) {
+      const position = this.copiedUpTo.get(id) ?? TABLE_START;
       const message = { kind: KEY_MESSAGE.readTable, ...packPosition(position) };
-      const reply = await request(id, store.withVoterSet(message), CLAIM_TIMEOUT_US);
+      const reply = await request(id, store.withVoterSet(message), REPAIR_TIMEOUT_US);
       if (!reply || !readBoolean(reply, "counts")) return false;
       if (!(await table.merge(reply))) return false;
       const end = readPageEnd(reply);
+      this.copiedUpTo.set(id, end.position);
       if (end.isLast) return true;
-      position = end.position;
     }
   };
 
--- a/src/programs/controller/idempotency-keys.ts
+++ b/src/programs/controller/idempotency-keys.ts
@@ -165,7 +165,8 @@
   });
   const catchUpTimer = clock.every(CATCH_UP_PERIOD_US, () => {
     void replication.catchUp();
-    replication.repair.runIfDue();
+    // Claims come first: until this replica votes, it may be missing in a quorum.
+    if (replication.isVoting) replication.repair.runIfDue();
     void readPurges();
   });
   const expiryTimer = clock.every(EXPIRY_PERIOD_US, () =>
