--- a/src/idempotency/key-client.ts
+++ b/src/idempotency/key-client.ts
@@ -123,7 +123,7 @@
       isStored = readStored(await this.request(message, STORE_TIMEOUT_US));
       if (isStored || this.clock.nowUs() + delayUs >= untilUs) break;
       await sleep(this.clock, delayUs);
-      delayUs = Math.min(delayUs * RETRY_DELAY_GROWTH, MAX_RETRY_DELAY_US);
+      delayUs = Math.min(Math.round(delayUs * RETRY_DELAY_GROWTH), MAX_RETRY_DELAY_US);
     }
     this.unstoredBytes -= sizeOf(answer);
     return isStored;
--- a/src/idempotency/key-replication.ts
+++ b/src/idempotency/key-replication.ts
@@ -72,7 +72,9 @@
   readonly linkMbps: number;
 }
 
+/** All results of a claim, in the order in which they are reported. */
 const CLAIM_RESULTS = ["won", "done", "unavailable", "working", "split", "none"] as const;
+
 /**
  * Decides by quorum which attempt may run the operation of a key, and stores the response of that
  * run.
--- a/src/idempotency/token-releases.ts
+++ b/src/idempotency/token-releases.ts
@@ -23,11 +23,6 @@
     private readonly releaseAll: (claims: readonly KeyClaim[]) => Promise<boolean>,
   ) {}
 
-  /** Number of tokens whose release is not confirmed. */
-  get size(): number {
-    return this.pending.size;
-  }
-
   /** Adds a token whose operation has not run and never will. */
   readonly add = (claim: KeyClaim): void => {
     const [oldest] = this.pending.keys();
