Metrics state their label names, so a count that is empty at the first scrape works

What operators saw: a program scraped before it had counted anything answered 500 on every later scrape. Cause: the label names of a metric were taken from the values of the first scrape, and the client library refuses others. Change: each labelled metric names its labels. The scenario for it failed before (500 at the second scrape). The metrics of gateways and controllers are split by subject, since their lists had grown past a function's length.

--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -8,6 +8,14 @@
     And the metrics are scraped
     Then the count is 5 and there are no requests by outcome
 
+  Scenario: A count by label that is empty at the first scrape is served once it has values
+    Given a metrics server with a count and an empty count by outcome
+    When the metrics are scraped
+    Then the count is 1 and there are no requests by outcome
+    When 2 requests have ended with the outcome "ok"
+    And the metrics are scraped
+    Then the count is 1 and 2 requests have the outcome "ok"
+
   Scenario: Other paths are not found, and a port that is in use is not fatal
     Given a metrics server with a count and a count by outcome
     Then another path of the metrics server answers 404
--- a/features/steps/metrics.ts
+++ b/features/steps/metrics.ts
@@ -27,7 +27,12 @@
     path: "/metrics",
     metrics: [
       { name: "yewreel_count", help: "A count.", read: () => count },
-      { name: "yewreel_requests", help: "Counts by outcome.", read: () => requests },
+      {
+        name: "yewreel_requests",
+        help: "Counts by outcome.",
+        labels: ["outcome"],
+        read: () => requests,
+      },
     ],
     log: { ...silentLogger, warn: (message) => void warnings.push(message) },
   });
@@ -82,12 +87,20 @@
   });
 });
 
-Given("a metrics server with a count and a count by outcome", async () => {
+const openServer = async (countByOutcome: readonly LabelledValue[]): Promise<void> => {
   count = 1;
-  requests = [{ labels: { outcome: "ok" }, value: 3 }];
+  requests = countByOutcome;
   const server = newServer([]);
   servers.push(server);
   await server.listen();
+};
+
+Given("a metrics server with a count and a count by outcome", () =>
+  openServer([{ labels: { outcome: "ok" }, value: 3 }]),
+);
+Given("a metrics server with a count and an empty count by outcome", () => openServer([]));
+When("{int} requests have ended with the outcome {string}", (ended: number, outcome: string) => {
+  requests = [{ labels: { outcome }, value: ended }];
 });
 When("the metrics are scraped", async () => {
   const response = await fetch(`http://${IP}:${PORT}/metrics`);
--- a/src/programs/controller/idempotency-keys.ts
+++ b/src/programs/controller/idempotency-keys.ts
@@ -128,11 +128,13 @@
   {
     name: "yewreel_key_claims",
     help: "Claims of idempotency keys through this controller, by result.",
+    labels: ["result"],
     read: () => keys.claimsByResult().map(([result, value]) => ({ labels: { result }, value })),
   },
   {
     name: "yewreel_key_responses",
     help: "Stored responses of idempotency keys, by whether this replica has the body.",
+    labels: ["body"],
     read: () => {
       const { withBody, withoutBody } = table.responseCounts;
       return [
--- a/src/programs/controller/metrics.ts
+++ b/src/programs/controller/metrics.ts
@@ -26,15 +26,7 @@
   return Object.entries(countByKind(keys)).map(([kind, value]) => ({ labels: { kind }, value }));
 };
 
-/** Returns the metrics of a controller. */
-export const controllerMetrics = ({
-  store,
-  updates,
-  publisher,
-  sessions,
-  peers,
-  freshness,
-}: ControllerMetricsOptions): readonly Metric[] => [
+const storeMetrics = ({ store, freshness }: ControllerMetricsOptions): readonly Metric[] => [
   {
     name: "yewreel_voting",
     help: "1 while this replica takes part in quorums.",
@@ -57,8 +49,17 @@
   {
     name: "yewreel_config_items",
     help: "Committed configuration items known here, without removed ones, by kind.",
+    labels: ["kind"],
     read: () => countItems(store),
   },
+];
+
+const fleetMetrics = ({
+  updates,
+  publisher,
+  sessions,
+  peers,
+}: ControllerMetricsOptions): readonly Metric[] => [
   {
     name: "yewreel_updates",
     help: "Updates for nodes: configuration items, workers, decisions.",
@@ -80,3 +81,9 @@
     read: () => peers.connectedControllers().length,
   },
 ];
+
+/** Returns the metrics of a controller. */
+export const controllerMetrics = (options: ControllerMetricsOptions): readonly Metric[] => [
+  ...storeMetrics(options),
+  ...fleetMetrics(options),
+];
--- a/src/programs/gateway/metrics.ts
+++ b/src/programs/gateway/metrics.ts
@@ -48,13 +48,7 @@
   },
 ];
 
-/** Metrics of a gateway. */
-export const gatewayMetrics = ({
-  dataPlane,
-  node,
-  server,
-}: GatewayMetricsOptions): readonly Metric[] => [
-  ...relayMetrics(node),
+const configurationMetrics = (dataPlane: DataPlane): readonly Metric[] => [
   {
     name: "yewreel_config_version",
     help: "The highest version of any configuration item in force here.",
@@ -70,6 +64,9 @@
     help: "Customers in force here; with any, requests need an API key.",
     read: () => dataPlane.customers.size,
   },
+];
+
+const trafficMetrics = ({ dataPlane, server }: GatewayMetricsOptions): readonly Metric[] => [
   {
     name: "yewreel_open_requests",
     help: "Requests read and not yet answered.",
@@ -78,6 +75,7 @@
   {
     name: "yewreel_client_connections",
     help: "Open client connections, by what they do: idle, serving or closing.",
+    labels: ["state"],
     read: () => {
       const { idle, serving, closing } = server.countConnections();
       return [
@@ -90,11 +88,20 @@
   {
     name: "yewreel_client_connections_cut",
     help: "Client connections cut instead of ended after a last response, by reason.",
+    labels: ["reason"],
     read: () => [...server.cutCounts].map(([reason, value]) => ({ labels: { reason }, value })),
   },
   {
     name: "yewreel_requests",
     help: "Requests answered since the start, by outcome.",
+    labels: ["outcome"],
     read: () => outcomeTotals(dataPlane),
   },
 ];
+
+/** Metrics of a gateway. */
+export const gatewayMetrics = (options: GatewayMetricsOptions): readonly Metric[] => [
+  ...relayMetrics(options.node),
+  ...configurationMetrics(options.dataPlane),
+  ...trafficMetrics(options),
+];
--- a/src/programs/metrics-server.ts
+++ b/src/programs/metrics-server.ts
@@ -20,6 +20,8 @@
   /** Ends with the unit, if any: for example `yewreel_children` or `yewreel_uptime_seconds`. */
   readonly name: string;
   readonly help: string;
+  /** Names of the labels; omitted for a single value. */
+  readonly labels?: readonly string[];
   readonly read: () => number | readonly LabelledValue[];
 }
 
@@ -33,19 +35,14 @@
   readonly log: Logger;
 }
 
-const labelNamesOf = (values: number | readonly LabelledValue[]): string[] =>
-  typeof values === "number"
-    ? []
-    : [...new Set(values.flatMap(({ labels }) => Object.keys(labels)))];
-
 const openRegistry = async (metrics: readonly Metric[]): Promise<Registry> => {
   const { default: prometheus } = await import("prom-client");
   const registry = new prometheus.Registry();
-  metrics.forEach(({ name, help, read }) => {
+  metrics.forEach(({ name, help, labels, read }) => {
     const gauge = new prometheus.Gauge({
       name,
       help,
-      labelNames: labelNamesOf(read()),
+      labelNames: [...(labels ?? [])],
       registers: [registry],
     });
     Object.assign(gauge, {
@@ -113,6 +110,7 @@
   {
     name: "yewreel_event_loop_delay_microseconds",
     help: "How late timers fired since the last reading.",
+    labels: ["quantile"],
     read: () => {
       const { p50Us, p99Us, maxUs } = delays.take();
       return [
@@ -138,6 +136,7 @@
   {
     name: "yewreel_sent_bytes",
     help: "Bytes sent to other processes of the cluster, by kind of message.",
+    labels: ["kind"],
     read: () =>
       [...sentFrameCounts].map(([kind, { bytes }]) => ({ labels: { kind }, value: bytes })),
   },
