Calls without a route, and workers that warm up, are counted at controllers and gateways

Change: controllers count API calls by route and outcome and log those without a route, and count the workers whose heartbeats announce a warm-up; gateways count the workers that they know to be in slow start, and the requests that they assign to them.

--- a/src/membership/worker-registry.ts
+++ b/src/membership/worker-registry.ts
@@ -61,6 +61,14 @@
   readonly all = (): readonly Heartbeat[] =>
     [...this.entries.values()].map((entry) => entry.heartbeat);
 
+  /** The number of workers whose last heartbeat announced a warm-up that has not ended. */
+  get warmingUp(): number {
+    const nowUs = this.clock.nowUs();
+    return [...this.entries.values()].filter(
+      ({ heartbeat, lastHeardUs }) => lastHeardUs + heartbeat.warmUs > nowUs,
+    ).length;
+  }
+
   readonly get = (id: string): Heartbeat | undefined => this.entries.get(id)?.heartbeat;
 
   /**
--- a/src/programs/controller/controller.ts
+++ b/src/programs/controller/controller.ts
@@ -15,6 +15,7 @@
 import { loggerFor } from "../../common/logger.js";
 import type { Settings } from "../../common/settings.js";
 import { KEEP_ALIVE } from "../data-plane-node.js";
+import { ApiCallCounts } from "../api-call-counts.js";
 import { serveApi, type ApiRoute } from "../http-api.js";
 import type { RunningProgram } from "../running-program.js";
 import { describeCustomers } from "../../config/customer-keys.js";
@@ -176,7 +177,8 @@
   await restoreWorkers(subsystems);
   await listener.listen(settings.ip, settings.peerPort);
   peers.learn([...settings.seedNodes, ...store.members()]);
-  const apiServer = await serveApi(settings.control, adminRoutes(subsystems));
+  const calls = new ApiCallCounts();
+  const apiServer = await serveApi(settings.control, adminRoutes(subsystems), calls);
   const controlLoop = startControlLoop({
     ...subsystems,
     sessions: nodes.sessions,
@@ -193,6 +195,7 @@
         ...subsystems,
         sessions: nodes.sessions,
         freshness: subsystems.quorum.freshness,
+        calls,
       }),
       ...(content?.metrics ?? []),
     ],
--- a/src/programs/controller/metrics.ts
+++ b/src/programs/controller/metrics.ts
@@ -5,17 +5,21 @@
 import type { Peers } from "../../membership/peers.js";
 import type { UpdatePublisher } from "../../membership/update-publisher.js";
 import type { UpdateStore } from "../../membership/update-store.js";
+import type { WorkerRegistry } from "../../membership/worker-registry.js";
+import type { ApiCallCounts } from "../api-call-counts.js";
 import type { LabelledValue, Metric } from "../metrics-server.js";
 import type { QuorumFreshness } from "./quorum-freshness.js";
 
 /** Dependencies of {@link controllerMetrics}. */
 export interface ControllerMetricsOptions {
   readonly store: ReplicatedStore;
+  readonly registry: WorkerRegistry;
   readonly updates: UpdateStore;
   readonly publisher: UpdatePublisher;
   readonly sessions: NodeSessions;
   readonly peers: Peers;
   readonly freshness: QuorumFreshness;
+  readonly calls: ApiCallCounts;
 }
 
 const countItems = (store: ReplicatedStore): readonly LabelledValue[] => {
@@ -55,10 +59,12 @@
 ];
 
 const fleetMetrics = ({
+  registry,
   updates,
   publisher,
   sessions,
   peers,
+  calls,
 }: ControllerMetricsOptions): readonly Metric[] => [
   {
     name: "yewreel_updates",
@@ -80,6 +86,17 @@
     help: "Controllers with a link to this one, itself included.",
     read: () => peers.connectedControllers().length,
   },
+  {
+    name: "yewreel_workers_warming_up",
+    help: "Workers whose last heartbeat announced a warm-up that has not ended.",
+    read: () => registry.warmingUp,
+  },
+  {
+    name: "yewreel_api_calls",
+    help: "Calls of workers and operators since the start, by route and outcome.",
+    labels: ["route", "outcome"],
+    read: calls.values,
+  },
 ];
 
 /** Returns the metrics of a controller. */
--- a/src/programs/gateway/metrics.ts
+++ b/src/programs/gateway/metrics.ts
@@ -91,6 +91,16 @@
     labels: ["reason"],
     read: () => [...server.cutCounts].map(([reason, value]) => ({ labels: { reason }, value })),
   },
+  {
+    name: "yewreel_workers_in_slow_start",
+    help: "Workers that have announced a slow start which has not ended.",
+    read: () => dataPlane.workers.workersInSlowStart,
+  },
+  {
+    name: "yewreel_requests_in_slow_start",
+    help: "Requests assigned to workers during their slow start, since the start of this process.",
+    read: () => dataPlane.workers.requestsInSlowStart,
+  },
   {
     name: "yewreel_requests",
     help: "Requests answered since the start, by outcome.",
--- a/src/programs/http-api.ts
+++ b/src/programs/http-api.ts
@@ -7,6 +7,7 @@
 import { OUTCOME_NAMES, HTTP_OUTCOMES, type OutcomeName } from "../common/http-outcomes.js";
 import { splitAddress } from "../common/settings.js";
 import { asRecord, type UnknownRecord } from "../common/decode.js";
+import { ApiCallCounts } from "./api-call-counts.js";
 
 /**
  * The response to a call. The outcome determines the status and, if there is no body, the text of
@@ -62,14 +63,20 @@
 
 /** Calls the first route that matches method and path; `unknownCall` if there is none. */
 const dispatch = async (
-  routes: readonly ApiRoute[],
+  { routes, calls }: Api,
   method: string,
   path: string,
   body: string,
 ): Promise<ApiResponse> => {
   const segments = path.split("/").slice(1).map(decodeSegment);
   const route = routes.find((candidate) => matches(candidate, method, segments));
-  return route ? route.handle({ segments, body }) : { outcome: "unknownCall" };
+  if (!route) {
+    calls.recordUnknown(method, path);
+    return { outcome: "unknownCall" };
+  }
+  const response = await route.handle({ segments, body });
+  calls.record(route.path, response.outcome);
+  return response;
 };
 
 /** Reads the complete body; undefined if it is truncated or too large. */
@@ -104,13 +111,24 @@
   response.end(body);
 };
 
+/** The routes of an API, and the counts of its calls. */
+interface Api {
+  readonly routes: readonly ApiRoute[];
+  readonly calls: ApiCallCounts;
+}
+
 /**
  * Serves the routes.
  *
  * @param address - `ip:port` to listen on
+ * @param calls - counts the calls by route and outcome
  * @returns the listening server; rejects with the system error if it can't listen
  */
-export const serveApi = (address: string, routes: readonly ApiRoute[]): Promise<Server> => {
+export const serveApi = (
+  address: string,
+  routes: readonly ApiRoute[],
+  calls = new ApiCallCounts(),
+): Promise<Server> => {
   const app = express();
   app.disable("x-powered-by");
   app.disable("etag");
@@ -119,7 +137,7 @@
     const result: ApiResponse =
       body === undefined
         ? { outcome: "unreadable" }
-        : await dispatch(routes, request.method, request.path, body);
+        : await dispatch({ routes, calls }, request.method, request.path, body);
     send(response, result);
   });
   const server = createServer(app);
--- a/src/proxy/forwarding.ts
+++ b/src/proxy/forwarding.ts
@@ -180,9 +180,8 @@
    * analysis only compares requests of the same stratum.
    */
   private readonly stratumOf = (worker: Worker): string => {
-    const { clock, zone } = this.options;
-    const distance = worker.zone === zone ? "near" : "far";
-    return `${distance}|${clock.nowUs() < worker.slowStartUntilUs ? "cold" : "warm"}`;
+    const distance = worker.zone === this.options.zone ? "near" : "far";
+    return `${distance}|${worker.isInSlowStart() ? "cold" : "warm"}`;
   };
 
   /** Updates the delivery state and the worker's fault statistics. */
--- a/src/proxy/worker-directory.ts
+++ b/src/proxy/worker-directory.ts
@@ -12,7 +12,7 @@
 import { asRecord, readList, readString, readNumber } from "../common/decode.js";
 import { ServiceLatency } from "./latency-estimate.js";
 import { subsetOf, type NodeCount, type Subset } from "./subset.js";
-import { Worker } from "./worker.js";
+import { Worker, type WorkerCounts } from "./worker.js";
 
 /** A zonal shift: the fractions of safe and of unsafe requests that avoid a zone, 0 to 1. */
 interface ZonalShift {
@@ -54,6 +54,7 @@
   private shift = NO_SHIFT;
   /** The capacity forecast by service; services with sufficient capacity are absent. */
   private forecasts: ReadonlyMap<string, string> = new Map();
+  private readonly counts: WorkerCounts = { requestsInSlowStart: 0 };
 
   constructor(
     private readonly clock: Clock,
@@ -66,6 +67,16 @@
     return this.workers.size;
   }
 
+  /** The number of workers that are in slow start. */
+  get workersInSlowStart(): number {
+    return this.all().filter((worker) => worker.isInSlowStart()).length;
+  }
+
+  /** The number of requests that this node has assigned to workers in slow start. */
+  get requestsInSlowStart(): number {
+    return this.counts.requestsInSlowStart;
+  }
+
   readonly get = (id: string): Worker | undefined => this.workers.get(id);
 
   /** Returns the workers of a service, including draining ones. */
@@ -166,7 +177,8 @@
     }
     const known = this.workers.get(id);
     const worker =
-      known ?? new Worker(id, this.clock, this.latencyOf(readString(update.body, "service")));
+      known ??
+      new Worker(id, this.clock, this.latencyOf(readString(update.body, "service")), this.counts);
     if (known) this.removeFromService(known);
     worker.applyUpdate(update);
     this.workers.set(id, worker);
--- a/src/proxy/worker.ts
+++ b/src/proxy/worker.ts
@@ -27,6 +27,12 @@
 /** Factor by which the expected latency is increased during slow start. */
 const SLOW_START_FACTOR = 2;
 
+/** Counts over all workers of a node. */
+export interface WorkerCounts {
+  /** Requests that were assigned to workers during their slow start. */
+  requestsInSlowStart: number;
+}
+
 /**
  * The attributes of a worker from updates, and the statistics of this node's own requests to it.
  */
@@ -58,6 +64,7 @@
     readonly id: string,
     private readonly clock: Clock,
     serviceLatency: ServiceLatency,
+    private readonly counts: WorkerCounts = { requestsInSlowStart: 0 },
   ) {
     this.latency = new LatencyEstimate(clock, serviceLatency);
     this.connections = new ConnectionPool(clock);
@@ -107,7 +114,7 @@
 
   /** Returns the expected latency of a request that is sent now at this load. */
   readonly expectedLatencyUs = (load: number): number => {
-    const slowStart = this.clock.nowUs() < this.slowStartUntilUs ? SLOW_START_FACTOR : 1;
+    const slowStart = this.isInSlowStart() ? SLOW_START_FACTOR : 1;
     return (
       Math.max(this.latency.meanUs(), this.longestWaitUs()) *
       slowStart *
@@ -115,6 +122,9 @@
     );
   };
 
+  /** Whether the worker was started recently and is still slow. */
+  readonly isInSlowStart = (): boolean => this.clock.nowUs() < this.slowStartUntilUs;
+
   /**
    * Excludes the worker from selection for `AVOID_US`, after a fault caused by the worker itself.
    */
@@ -144,6 +154,7 @@
     const request = { startedUs: this.clock.nowUs() };
     this.awaitingResponse.add(request);
     this.inFlight += 1;
+    if (this.isInSlowStart()) this.counts.requestsInSlowStart += 1;
     return request;
   };
 
