--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -144,6 +144,9 @@
   latencyTargetUs: 600_000,
 };
 
+/** Factor on the durations of a worker that warms up. */
+const COLD_SLOWDOWN = 2;
+
 /** A call that a node sent to a worker. */
 interface SimCall {
   readonly node: SimNode;
@@ -295,10 +298,22 @@
   readonly retire = (id: string): void =>
     this.publishWorker(id, this.workers.get(id)?.zone ?? "", "gone");
 
+  /** Lets all workers of a zone turn cold, which doubles their durations, and announces it. */
+  readonly turnCold = (zone: string, warmUs: number): void =>
+    [...this.workers.values()]
+      .filter((worker) => worker.zone === zone)
+      .forEach((worker) => {
+        worker.slowdown = COLD_SLOWDOWN;
+        this.timeline.after(warmUs, () => {
+          worker.slowdown = 1;
+        });
+        this.publishWorker(worker.id, zone, "ready", warmUs);
+      });
+
   /** Starts the arrivals at all nodes. */
   readonly start = (): void => this.nodes.forEach((node) => this.scheduleArrival(node));
 
-  private readonly publishWorker = (id: string, zone: string, state: string): void => {
+  private readonly publishWorker = (id: string, zone: string, state: string, warmUs = 0): void => {
     this.version += 1;
     const update: Update = {
       key: WORKER_PREFIX + id,
@@ -311,7 +326,7 @@
         cell: zone,
         capacity: this.options.slots,
         state,
-        warmUs: 0,
+        warmUs,
       },
     };
     this.nodes.forEach((node) => node.directory.applyUpdates([update]));
--- a/features/support/small-system.ts
+++ b/features/support/small-system.ts
@@ -53,9 +53,17 @@
     const worker = new StubWorker(id);
     await worker.start();
     this.workers.push(worker);
+    await this.sendHeartbeat(worker, { service });
+    return worker;
+  };
+
+  /** Sends a heartbeat of a ready worker and waits until the gateway may have its update. */
+  readonly sendHeartbeat = async (
+    worker: StubWorker,
+    fields: { readonly service: string; readonly warmLeft?: string },
+  ): Promise<Reply> => {
     this.callCount += 1;
     const heartbeat = {
-      service,
       address: worker.address,
       cell: "c1",
       version: "v1",
@@ -63,19 +71,24 @@
       state: "ready",
       warmLeft: "0ms",
       callCount: this.callCount,
+      ...fields,
     };
-    await this.callController("POST", `/workers/${id}/heartbeat`, JSON.stringify(heartbeat));
-    await this.clock.pass(DISTRIBUTION_US);
-    return worker;
+    const path = `/workers/${worker.id}/heartbeat`;
+    const reply = await this.callController("POST", path, JSON.stringify(heartbeat));
+    await this.passDistribution();
+    return reply;
   };
 
   /** Sends a change to the controller and waits until the gateway may have it. */
   readonly change = async (change: unknown): Promise<Reply> => {
     const reply = await this.callController("POST", "/plan/change", JSON.stringify(change));
-    await this.clock.pass(DISTRIBUTION_US);
+    await this.passDistribution();
     return reply;
   };
 
+  /** Lets the time pass in which a change or an order reaches the gateway. */
+  readonly passDistribution = (): Promise<void> => this.clock.pass(DISTRIBUTION_US);
+
   readonly callController = (method: string, path: string, body = ""): Promise<Reply> =>
     this.advance(callHttp(`${CONTROLLER_IP}:${this.basePort + 2}`, method, path, body));
 
--- /dev/null
+++ b/features/warm-up.feature
@@ -0,0 +1,25 @@
+Feature: Workers that warm up get no more requests than they can take
+
+  @known-red
+  Scenario: A zone that the operator has evacuated gets no requests
+    Given a system with a worker whose service has a limit during warm-up
+    When the operator starts the evacuation of the zone
+    Then the call is answered with 200
+    When 5 requests are sent
+    Then each is answered with 503, and the worker has received none
+    When the operator ends the evacuation of the zone
+    Then the call is answered with 200
+
+  @known-red
+  Scenario: Gateways learn from a heartbeat that a worker has turned cold again
+    Given a system with a worker whose service has a limit during warm-up
+    When the worker announces that it warms up for 3 s
+    Then the controller and the gateway both count 1 worker that warms up
+
+  @known-red
+  Scenario: All gateways together send a worker that warms up no more than it can take
+    Given a fleet of 5 zones with 20 gateways and 33 workers each, 70% of all slots in use
+    When the gateways serve for 5 seconds
+    And all workers of a zone turn cold for 3 s, and all gateways are told
+    And the gateways serve for 4 seconds
+    Then no cold worker has got more than 12 requests within a second
