--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -42,6 +42,16 @@
     When the command "backends forecast --add pay@c1*3 menu@c2" is run
     Then the body sent to controller 1 has "add" as '[{"service":"pay","cell":"c1","count":3},{"service":"menu","cell":"c2","count":1}]'
 
+  Scenario Outline: A zone is evacuated, and taken back, by its name
+    Given controllers that answer "200"
+    When the command "<command>" is run
+    Then controller 1 was called at "<path>"
+
+    Examples:
+      | command                | path               |
+      | evacuate zone-b        | /evacuate/zone-b/start |
+      | evacuate zone-b --end  | /evacuate/zone-b/end   |
+
   Scenario: A table has the columns of all rows
     Then the rows '[{"id":"a"},{"id":"bb","zone":"c1"}]' are printed as
       """
--- a/features/steps/ctl.ts
+++ b/features/steps/ctl.ts
@@ -106,6 +106,12 @@
     assert.ok(outcome.message.includes(sentence), outcome.message);
   },
 );
+Then("controller {int} was called at {string}", (controller: number, path: string) =>
+  assert.deepEqual(
+    received.map(({ controller: called, method, url }) => ({ called, method, url })),
+    [{ called: controller, method: "POST", url: path }],
+  ),
+);
 Then("controller {int} was not called", (controller: number) =>
   assert.ok(received.every((one) => one.controller !== controller)),
 );
--- a/features/steps/warm-up.ts
+++ b/features/steps/warm-up.ts
@@ -1,16 +1,22 @@
 import assert from "node:assert/strict";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { SECOND_US } from "../../src/common/duration.js";
+import { asRecord, parseJson } from "../../src/common/decode.js";
+import { MILLISECOND_US, SECOND_US } from "../../src/common/duration.js";
+import type { Heartbeat } from "../../src/membership/cluster.js";
+import { UpdateStore } from "../../src/membership/update-store.js";
+import { WorkerRegistry } from "../../src/membership/worker-registry.js";
 import type { Metric } from "../../src/programs/metrics-server.js";
 import { DEFAULT_FLEET_OPTIONS, SimFleet } from "../support/fleet.js";
 import type { Reply } from "../support/http-call.js";
 import { seeded } from "../support/fleet.js";
 import { MAX_PER_SECOND, WarmUpModel, type WarmUpFlaw } from "../support/warm-up-model.js";
+import { ManualClock, settle } from "../support/manual-clock.js";
 import { SmallSystem } from "../support/small-system.js";
 import type { StubWorker } from "../support/stub-worker.js";
 
 const SERVICE = "s";
 const ZONE = "c1";
+const HEARTBEAT_US = 1_500 * MILLISECOND_US;
 const CONFIGURATION = {
   putItems: {
     listeners: [
@@ -43,10 +49,23 @@
   remove: { routes: [] },
 };
 
+const heartbeatOf = (warmS: number, callCount: number): Heartbeat => ({
+  id: "w-1",
+  service: SERVICE,
+  address: "127.0.0.1:1",
+  zone: ZONE,
+  version: "",
+  capacity: 3,
+  state: "ready",
+  warmUs: warmS * SECOND_US,
+  callCount,
+});
+
 let system: SmallSystem | undefined;
 let worker: StubWorker | undefined;
 let reply: Reply = { status: 0, body: "" };
 let replies: Reply[] = [];
+let receivedBefore = 0;
 let fleet: SimFleet | undefined;
 let coldFromUs = 0;
 let coldUntilUs = 0;
@@ -89,6 +108,16 @@
   for (let sent = 0; sent < count; sent += 1)
     replies.push(await running().request("POST", "/orders"));
 });
+When("the operator orders the evacuation of the zone {string}", async (zone: string) => {
+  reply = await running().callController("POST", `/evacuate/${zone}/start`);
+});
+When("{int} s pass", (seconds: number) => running().clock.pass(seconds * SECOND_US));
+When("{int} requests are sent at once", async (count: number) => {
+  receivedBefore = theWorker().requests.length;
+  replies = await Promise.all(
+    Array.from({ length: count }, () => running().request("POST", "/orders")),
+  );
+});
 When("the worker announces that it warms up for {int} s", async (seconds: number) => {
   await running().sendHeartbeat(theWorker(), { service: SERVICE, warmLeft: `${seconds}s` });
 });
@@ -102,6 +131,72 @@
   assert.deepEqual(counts, [count, count]);
 });
 
+Then("each is answered with {int}", (status: number) =>
+  assert.deepEqual(
+    replies.map((each) => each.status),
+    replies.map(() => status),
+  ),
+);
+Then(
+  "at most {int} of them is answered with {int}, and the worker has received as many more",
+  (most: number, status: number) => {
+    const answered = replies.filter((each) => each.status === status).length;
+    assert.ok(answered <= most, `${answered}`);
+    assert.equal(theWorker().requests.length - receivedBefore, answered);
+  },
+);
+Then("the evacuations are listed as {string}", async (json: string) => {
+  const listed = await running().callController("GET", "/tell/evacuations");
+  assert.deepEqual(asRecord(parseJson(listed.body))["evacuations"], parseJson(json));
+});
+
+let clock = new ManualClock();
+let updates = new UpdateStore(clock);
+let registry = new WorkerRegistry(clock, updates, HEARTBEAT_US);
+let postedCount = 0;
+const FIRST_CALL_COUNT = 10;
+
+const record = (warmS: number, callCount: number, ageS = 0): void => {
+  registry.record(heartbeatOf(warmS, callCount), ageS * SECOND_US);
+};
+
+Given(/^a controller that knows a worker as (warm|cold for 3 s)$/, (known: string) => {
+  clock = new ManualClock();
+  updates = new UpdateStore(clock);
+  registry = new WorkerRegistry(clock, updates, HEARTBEAT_US);
+  postedCount = 0;
+  record(known === "warm" ? 0 : 3, FIRST_CALL_COUNT);
+  updates.events.on("changed", (changed) => {
+    postedCount += changed.length;
+  });
+});
+When(/^a heartbeat announces (\d) s$/, (warmS: string) =>
+  record(Number(warmS), FIRST_CALL_COUNT + 1),
+);
+When(
+  /^a heartbeat announces (\d) s, and comes with an age of (\d) s$/,
+  (warmS: string, ageS: string) => record(Number(warmS), FIRST_CALL_COUNT + 1, Number(ageS)),
+);
+When(/^(\d) s later a heartbeat announces (\d) s$/, async (laterS: string, warmS: string) => {
+  await clock.pass(Number(laterS) * SECOND_US);
+  record(Number(warmS), FIRST_CALL_COUNT + 1);
+});
+When(/^an older heartbeat announces (\d) s$/, (warmS: string) =>
+  record(Number(warmS), FIRST_CALL_COUNT - 1),
+);
+When(/^(\d) s later nothing has come$/, (laterS: string) => clock.pass(Number(laterS) * SECOND_US));
+When(/^it is restored from a file that says cold for (\d) s$/, (warmS: string) =>
+  registry.restore([heartbeatOf(Number(warmS), FIRST_CALL_COUNT + 1)]),
+);
+Then(
+  /^it counts (\d) worker that warms up, and has posted (an update|nothing)$/,
+  async (count: string, posts: string) => {
+    await settle();
+    assert.equal(registry.warmingUp, Number(count));
+    assert.equal(postedCount, posts === "nothing" ? 0 : 1);
+  },
+);
+
 Given(
   "a fleet of {int} zones with {int} gateways and {int} workers each, {int}% of all slots in use",
   (zones: number, nodesPerZone: number, workersPerZone: number, percent: number) => {
--- a/features/support/small-system.ts
+++ b/features/support/small-system.ts
@@ -123,8 +123,8 @@
     return finished;
   };
 
-  private readonly settingsOf = (ip: string): Settings =>
-    testSettings({
+  private readonly settingsOf = (ip: string): Settings => ({
+    ...testSettings({
       name: ip,
       ip,
       zone: "c1",
@@ -133,5 +133,7 @@
       frontPort: this.basePort + 4,
       controllerIps: [CONTROLLER_IP],
       withstandMachines: 0,
-    });
+    }),
+    regions: new Map([["c1", "r1"]]),
+  });
 }
