--- a/features/steps/warm-up.ts
+++ b/features/steps/warm-up.ts
@@ -9,7 +9,12 @@
 import { DEFAULT_FLEET_OPTIONS, SimFleet } from "../support/fleet.js";
 import type { Reply } from "../support/http-call.js";
 import { seeded } from "../support/fleet.js";
-import { MAX_PER_SECOND, WarmUpModel, type WarmUpFlaw } from "../support/warm-up-model.js";
+import {
+  MAX_PER_SECOND,
+  WarmUpModel,
+  workerHeartbeat,
+  type WarmUpFlaw,
+} from "../support/warm-up-model.js";
 import { ManualClock, settle } from "../support/manual-clock.js";
 import { SmallSystem } from "../support/small-system.js";
 import type { StubWorker } from "../support/stub-worker.js";
@@ -49,17 +54,8 @@
   remove: { routes: [] },
 };
 
-const heartbeatOf = (warmS: number, callCount: number): Heartbeat => ({
-  id: "w-1",
-  service: SERVICE,
-  address: "127.0.0.1:1",
-  zone: ZONE,
-  version: "",
-  capacity: 3,
-  state: "ready",
-  warmUs: warmS * SECOND_US,
-  callCount,
-});
+const heartbeatOf = (warmS: number, callCount: number): Heartbeat =>
+  workerHeartbeat({ warmUs: warmS * SECOND_US, callCount });
 
 let system: SmallSystem | undefined;
 let worker: StubWorker | undefined;
--- a/features/support/warm-up-model.ts
+++ b/features/support/warm-up-model.ts
@@ -37,7 +37,6 @@
 export const MAX_PER_SECOND = LIMIT.requestsPerS * TOLERANCE.excess + TOLERANCE.slack;
 const STEP_US = 10 * MILLISECOND_US;
 const HEARTBEAT_US = 1_500 * MILLISECOND_US;
-const SERVICE = "s";
 const ZONE = "c1";
 const WORKER = "w-1";
 
@@ -49,6 +48,18 @@
   linkMbps: 0,
 });
 
+/** A heartbeat of the model's worker. */
+export const workerHeartbeat = (fields: Pick<Heartbeat, "warmUs" | "callCount">): Heartbeat => ({
+  id: WORKER,
+  service: "s",
+  address: "127.0.0.1:1",
+  zone: ZONE,
+  version: "",
+  capacity: 3,
+  state: "ready",
+  ...fields,
+});
+
 /** A controller that knows only some of the gateways. */
 class ModelController {
   readonly updates: UpdateStore;
@@ -180,17 +191,7 @@
 
   private readonly receive = (controller: ModelController, warmUs: number): void => {
     this.callCount += 1;
-    const heartbeat: Heartbeat = {
-      id: WORKER,
-      service: SERVICE,
-      address: "127.0.0.1:1",
-      zone: ZONE,
-      version: "",
-      capacity: 3,
-      state: "ready",
-      warmUs,
-      callCount: this.callCount,
-    };
+    const heartbeat = workerHeartbeat({ warmUs, callCount: this.callCount });
     const planned = controller.planner.plan(heartbeat);
     const everyone = this.gateways.map(({ node }) => node);
     const senders =
