A worker that warms up is used as far as its limit allows before remote ones

Change: a local worker within its limit is chosen unless a remote one is faster by the whole latency target. Only services with a limit are touched.

--- a/features/steps/warm-up.ts
+++ b/features/steps/warm-up.ts
@@ -6,7 +6,7 @@
 import { UpdateStore } from "../../src/membership/update-store.js";
 import { WorkerRegistry } from "../../src/membership/worker-registry.js";
 import type { Metric } from "../../src/programs/metrics-server.js";
-import { DEFAULT_FLEET_OPTIONS, SimFleet } from "../support/fleet.js";
+import { DEFAULT_FLEET_OPTIONS, SimFleet, WARM_UP_LIMIT } from "../support/fleet.js";
 import type { Reply } from "../support/http-call.js";
 import { seeded } from "../support/fleet.js";
 import {
@@ -232,6 +232,16 @@
     });
   });
 });
+Then("the cold workers have got at least {int}% of what they can take", (percent: number) => {
+  const { calls, workers } = theFleet();
+  const coldWorkers = [...workers.values()].filter(({ zone }) => zone === "c0").map(({ id }) => id);
+  const received = calls.filter(
+    ({ worker: id, atUs }) => coldWorkers.includes(id) && atUs >= coldFromUs && atUs < coldUntilUs,
+  ).length;
+  const seconds = (coldUntilUs - coldFromUs) / SECOND_US;
+  const canTake = coldWorkers.length * seconds * WARM_UP_LIMIT.requestsPerS;
+  assert.ok(received >= (canTake * percent) / 100, `${received} of ${canTake}`);
+});
 
 const FLAWS: Readonly<Record<string, WarmUpFlaw>> = {
   "the choice of senders": "every gateway is a sender",
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -149,7 +149,8 @@
 
 /** Factor on the durations of a worker that warms up. */
 const COLD_SLOWDOWN = 2;
-const WARM_UP_LIMIT: WarmUpLimit = { durationUs: 3 * SECOND_US, requestsPerS: 2.7 };
+/** What a worker can take while it warms up. */
+export const WARM_UP_LIMIT: WarmUpLimit = { durationUs: 3 * SECOND_US, requestsPerS: 2.7 };
 /** At most 2.7 x 1.5 + 8 = 12.05 requests within a second. */
 const WARM_UP_SENDERS = planSenders(WARM_UP_LIMIT, { excess: 1.5, slack: 8 });
 const WARM_UP: NodeWarmUpLimit = {
--- a/features/warm-up.feature
+++ b/features/warm-up.feature
@@ -20,6 +20,7 @@
     And all workers of a zone turn cold for 3 s, and all gateways are told
     And the gateways serve for 4 seconds
     Then no cold worker has got more than 12 requests within a second
+    And the cold workers have got at least 70% of what they can take
 
   Scenario: An order about a zone that the settings don't name is refused
     Given a system with a worker whose service has a limit during warm-up
--- a/src/proxy/load-balancer.ts
+++ b/src/proxy/load-balancer.ts
@@ -90,7 +90,7 @@
     const bestLocal = this.leastExpectedLatency(local, isPreferred);
     const bestRemote = this.leastExpectedLatency(remote, isPreferred);
     if (bestLocal && bestRemote) {
-      const penaltyUs = latencyTargetUs / REMOTE_PENALTY_DIVISOR;
+      const penaltyUs = this.remotePenaltyUs(bestLocal, latencyTargetUs);
       return this.expectedLatencyUs(bestLocal) <= this.expectedLatencyUs(bestRemote) + penaltyUs
         ? bestLocal
         : bestRemote;
@@ -105,6 +105,13 @@
     );
   };
 
+  /**
+   * How much faster a remote worker must be to be chosen. A local worker that warms up is used as
+   * far as its limit allows, so that the other zones serve only what is beyond it.
+   */
+  private readonly remotePenaltyUs = (local: Worker, latencyTargetUs: number): number =>
+    local.warmUp.isLimited() ? latencyTargetUs : latencyTargetUs / REMOTE_PENALTY_DIVISOR;
+
   /** Whether a request may be sent to this worker, the only one that may run it, now. */
   readonly canServe = (worker: Worker, tried: ReadonlySet<string>): boolean =>
     !tried.has(worker.id) &&
@@ -124,7 +131,7 @@
     const { workers, zone } = this.options;
     const averageLoad = this.localLoad.get(worker.service) ?? 0;
     if (worker.zone !== zone) return worker.load(Math.min(averageLoad, worker.capacity));
-    const otherNodes = workers.subsetFor(worker.service).nodesPerWorker - 1;
+    const otherNodes = Math.max(0, workers.subsetFor(worker.service).nodesPerWorker - 1);
     const load = worker.load(worker.averageInFlight() * otherNodes);
     this.localLoad.set(worker.service, averageLoad + (load - averageLoad) * LOCAL_LOAD_WEIGHT);
     return load;
