The schema of an item alone says which of its fields are checked, and each needs a reader

What operators saw: a service with coldRateS as text, or warmUp as no duration, was acknowledged and then had no limit (on such a call is accepted, on this code refused). Cause: the list of a service's checked fields stood twice, and extended only the schema. Change: what is checked is derived from the schema's fields.

--- a/features/api-calls.feature
+++ b/features/api-calls.feature
@@ -14,6 +14,12 @@
       | has a route without a version      | invalid   |
       | has shares of 0                    | invalid   |
       | has a route of an unknown kind     | invalid   |
+      | has a warm-up that is no duration  | invalid   |
+      | has a limit during warm-up that is text | invalid   |
+
+  Scenario: A field of an item that is accepted has an effect
+    Then every field of an item is read outside of the schema and its checks
+    And a field "homeRegions" would be found to be read by nobody
 
   Scenario: A route that refers to an unknown service is reported
     When a call is read that refers to an unknown service
--- a/features/steps/replicated-registers.ts
+++ b/features/steps/replicated-registers.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { parseChange } from "../../src/config/change-request.js";
 import { findUnknownService, toConfigDocument } from "../../src/config/config-document.js";
+import { ITEM_FIELDS } from "../../src/config/item-schema.js";
 import { WriteAheadLog } from "../../src/storage/write-ahead-log.js";
 import { Replica } from "../../src/consensus/replica.js";
 import { makeRegister, type Register } from "../../src/consensus/register.js";
@@ -692,8 +695,12 @@
   idle: "15000ms",
   version: 1,
 };
-const callOf = (route: UnknownRecord, host = "a.example"): UnknownRecord => ({
-  putItems: { limits, listeners: [{ host, rules: [route] }], groups: [group] },
+const callOf = (
+  route: UnknownRecord,
+  host = "a.example",
+  service: UnknownRecord = group,
+): UnknownRecord => ({
+  putItems: { limits, listeners: [{ host, rules: [route] }], groups: [service] },
   remove: { routes: [] },
 });
 
@@ -710,6 +717,10 @@
       callOf(routeOf({}, { service: undefined, shares: [{ service: "s1", share: 0 }] })),
     ),
   "has a route of an unknown kind": () => JSON.stringify(callOf(routeOf({ routeKind: "maybe" }))),
+  "has a warm-up that is no duration": () =>
+    JSON.stringify(callOf(routeOf(), "a.example", { ...group, warmUp: "soon" })),
+  "has a limit during warm-up that is text": () =>
+    JSON.stringify(callOf(routeOf(), "a.example", { ...group, coldRateS: "2.7" })),
   "refers to an unknown service": () => JSON.stringify(callOf(routeOf({}, { service: "nobody" }))),
   "is valid": () => JSON.stringify(callOf(routeOf())),
 };
@@ -753,3 +764,34 @@
   const sent = asRecord(asRecord(parseJson(FLAWS["is valid"]?.() ?? ""))["putItems"]);
   assert.deepEqual(toConfigDocument(parsed.value), sent);
 });
+
+/** Fields that are accepted and that nobody needs, with the reason. */
+const FIELDS_WITHOUT_READER: Readonly<Record<string, string>> = {
+  protocol: "only HTTP/1.1 is accepted",
+  encrypted: "only unencrypted connections are accepted",
+  grants: "a sharded service has the only one that is supported",
+  dropsRepeats: "an unsafe request is never repeated, whatever its worker would do",
+};
+const CHECKS: readonly string[] = ["src/config/item-schema.ts", "src/config/validation.ts"];
+
+const sourceFiles = (folder: string): readonly string[] =>
+  readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((name) => name.endsWith(".ts"))
+    .map((name) => join(folder, name))
+    .filter((path) => !CHECKS.includes(path));
+
+const unreadOf = (fields: readonly string[]): readonly string[] => {
+  const sources = sourceFiles("src").map((path) => readFileSync(path, "utf8"));
+  return fields.filter(
+    (field) =>
+      FIELDS_WITHOUT_READER[field] === undefined &&
+      !sources.some((source) => source.includes(`["${field}"]`) || source.includes(`, "${field}"`)),
+  );
+};
+
+Then("every field of an item is read outside of the schema and its checks", () =>
+  assert.deepEqual(unreadOf(Object.values(ITEM_FIELDS).flat()), []),
+);
+Then("a field {string} would be found to be read by nobody", (field: string) =>
+  assert.deepEqual(unreadOf([...Object.values(ITEM_FIELDS).flat(), field]), [field]),
+);
--- a/src/config/item-schema.ts
+++ b/src/config/item-schema.ts
@@ -174,6 +174,14 @@
         throw new Error(`${field}: must be a ${typeof preset}`);
     });
 
+/** Returns the given fields of a record without those that are undefined. */
+export const pickFields = (record: UnknownRecord, fields: readonly string[]): UnknownRecord => {
+  const kept = fields
+    .filter((field) => record[field] !== undefined)
+    .map((field): [string, unknown] => [field, record[field]]);
+  return Object.fromEntries(kept);
+};
+
 const validate = (
   schema: { load: (conf: UnknownRecord) => unknown; validate: () => unknown },
   defaults: UnknownRecord,
@@ -184,14 +192,6 @@
   schema.validate();
 };
 
-/** Returns the given fields of a record without those that are undefined. */
-export const pickFields = (record: UnknownRecord, fields: readonly string[]): UnknownRecord => {
-  const kept = fields
-    .filter((field) => record[field] !== undefined)
-    .map((field): [string, unknown] => [field, record[field]]);
-  return Object.fromEntries(kept);
-};
-
 /**
  * Validates the fields of a route.
  *
@@ -200,13 +200,21 @@
 export const validateRoute = (route: UnknownRecord): void =>
   validate(routeSchema, ROUTE_DEFAULTS, route);
 
+/** The fields of each kind of item that have an effect; others are stored without one. */
+export const ITEM_FIELDS: Readonly<Record<string, readonly string[]>> = {
+  route: [...Object.keys(ROUTE_DEFAULTS), "matchOn", "then"],
+  service: Object.keys(SERVICE_DEFAULTS),
+  customer: [...Object.keys(CUSTOMER_DEFAULTS), "apiKeys"],
+  limits: Object.keys(LIMITS_DEFAULTS),
+};
+
 /**
  * Validates the fields of a service.
  *
  * @throws if a field violates the schema
  */
 export const validateService = (service: UnknownRecord): void => {
-  validate(serviceSchema, SERVICE_DEFAULTS, service);
+  validate(serviceSchema, SERVICE_DEFAULTS, pickFields(service, Object.keys(SERVICE_DEFAULTS)));
   if (service["sharded"] === true && service["grants"] !== GRANTS_BY_HEARTBEAT)
     throw new Error(`grants: must be "${GRANTS_BY_HEARTBEAT}" for a sharded service`);
 };
@@ -217,7 +225,7 @@
  * @throws if a field violates the schema. The message contains no API key.
  */
 export const validateCustomer = (customer: UnknownRecord): void => {
-  validate(customerSchema, CUSTOMER_DEFAULTS, pickFields(customer, ["name", "version", "rank"]));
+  validate(customerSchema, CUSTOMER_DEFAULTS, pickFields(customer, Object.keys(CUSTOMER_DEFAULTS)));
   if (customer["ratePerS"] !== undefined)
     throw new Error("ratePerS: rate limits of customers are not supported");
   const keys = asList(customer["apiKeys"], "apiKeys");
@@ -233,4 +241,4 @@
  * @throws if a field violates the schema
  */
 export const validateLimits = (limits: UnknownRecord): void =>
-  validate(limitsSchema, LIMITS_DEFAULTS, limits);
+  validate(limitsSchema, LIMITS_DEFAULTS, pickFields(limits, Object.keys(LIMITS_DEFAULTS)));
--- a/src/config/validation.ts
+++ b/src/config/validation.ts
@@ -51,20 +51,7 @@
  */
 export const toServiceRegister = (value: unknown): Register => {
   const group = asRecord(value, "group");
-  validateService(
-    pickFields(group, [
-      "name",
-      "version",
-      "statusPath",
-      "maxConnections",
-      "ratePerS",
-      "dropsRepeats",
-      "sharded",
-      "grants",
-      "protocol",
-      "encrypted",
-    ]),
-  );
+  validateService(group);
   return makeRegister(
     serviceKey(String(group["name"])),
     Number(group["version"]),
@@ -94,9 +81,7 @@
  */
 export const toLimitsRegister = (value: unknown): Register => {
   const limits = asRecord(value, "limits");
-  validateLimits(
-    pickFields(limits, ["version", "maxHeaderBytes", "maxBodyBytes", "headerWait", "idle"]),
-  );
+  validateLimits(limits);
   return makeRegister(LIMITS_KEY, Number(limits["version"]), JSON.stringify(limits));
 };
 
