--- a/src/proxy/warm-up.ts
+++ b/src/proxy/warm-up.ts
@@ -67,8 +67,8 @@
     this.rank = senders.indexOf(node);
     const intervalUs = limitOf(this.worker.service)?.senders.intervalUs ?? 0;
     // The senders take turns, so that their requests don't meet at the worker.
-    this.firstSendUs =
-      sinceUs + (Math.max(0, this.rank) * intervalUs) / Math.max(1, senders.length);
+    const turnUs = intervalUs / Math.max(1, senders.length);
+    this.firstSendUs = sinceUs + Math.round(Math.max(0, this.rank) * turnUs);
   };
 
   /** When the warm-up ends, in microseconds of the local clock; in the past if the worker is warm. */
