The warm-up's model ends a flawed variant at its limit, and counts in one pass

That variant sent without end, and the busiest second was counted in quadratic time. What is checked and its bounds are the same.

--- a/features/support/warm-up-model.ts
+++ b/features/support/warm-up-model.ts
@@ -146,10 +146,13 @@
 
   /** The most requests that the worker got within a second. */
   get busiestSecond(): number {
-    return this.sentUs.reduce((most, startUs, at) => {
-      const within = this.sentUs.slice(at).filter((sentUs) => sentUs < startUs + SECOND_US);
-      return Math.max(most, within.length);
-    }, 0);
+    let firstWithin = 0;
+    let most = 0;
+    this.sentUs.forEach((sentUs, at) => {
+      while ((this.sentUs[firstWithin] ?? sentUs) <= sentUs - SECOND_US) firstWithin += 1;
+      most = Math.max(most, at - firstWithin + 1);
+    });
+    return most;
   }
 
   /**
@@ -226,12 +229,10 @@
   /** Every gateway sends as often as it may, and one restarts now and then. */
   private readonly serve = async (spanUs: number): Promise<void> => {
     const endUs = this.clock.nowUs() + spanUs;
-    while (this.clock.nowUs() < endUs) {
+    while (this.clock.nowUs() < endUs && this.sentUs.length < MAX_REQUESTS) {
       this.gateways.forEach((gateway) => {
-        while (gateway.trySend()) {
+        while (this.sentUs.length < MAX_REQUESTS && gateway.trySend())
           this.sentUs.push(this.clock.nowUs());
-          if (this.sentUs.length > MAX_REQUESTS) return;
-        }
       });
       this.restartOne();
       this.clock.jump(STEP_US);
@@ -248,7 +249,7 @@
   };
 }
 
-/** Far above any bound, so that a flawed model ends. */
+/** Far above any bound; a flawed model ends there, since it would send without end. */
 const MAX_REQUESTS = 2_000;
 /** Of some gateway in each step. With 40 of them, each restarts every two seconds. */
 const RESTART_PROBABILITY = 0.2;
